--- /dev/null
+++ b/src/ebonystile/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Parse command lines and start the programs."""
--- /dev/null
+++ b/src/ebonystile/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide, without I/O: every choice the daemons make, as plain state machines."""
--- /dev/null
+++ b/src/ebonystile/core/view.py
@@ -0,0 +1,111 @@
+"""What a process believes about services and instances: the input of every routing decision.
+
+A `View` is immutable. Configuration code builds a new one whenever a newer document is accepted;
+the cores only ever swap one view for another of the same or a higher revision.
+"""
+
+import dataclasses
+import struct
+import typing
+
+import xxhash
+
+Address = tuple[str, int]
+"""An IPv4 address and a port. UDP and TCP of one process share the number."""
+
+TOKEN = struct.Struct("!QQQ")
+"""A token on the wire: upstream key, incarnation, service key (24 bytes)."""
+
+
+def key_of(name: str) -> int:
+    """Return the 64-bit key that stands for a name in tokens and rankings (xxh3)."""
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Token:
+    """The home of a flow: which upstream, which start of its sidecar, for which service."""
+
+    upstream: int
+    incarnation: int
+    service: int
+
+    def pack(self) -> bytes:
+        """Return the token's 24 bytes."""
+        return TOKEN.pack(self.upstream, self.incarnation, self.service)
+
+
+def unpack_token(data: bytes) -> Token | None:
+    """Return the token in `data`, or None where there is none."""
+    if len(data) != TOKEN.size:
+        return None
+    return Token(*TOKEN.unpack(data))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An upstream with the sidecar beside it; `address` is the sidecar's."""
+
+    name: str
+    address: Address
+    zone: str
+    leaving: bool = False
+    key: int = 0
+
+
+def make_endpoint(name: str, address: Address, zone: str, *, leaving: bool = False) -> Endpoint:
+    """Return an endpoint with its key worked out."""
+    return Endpoint(name, address, zone, leaving, key_of(name))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service and every upstream that its selector matches now, those leaving included."""
+
+    name: str
+    address: str
+    upstreams: tuple[Endpoint, ...]
+    key: int = 0
+
+    @property
+    def accepting(self) -> tuple[Endpoint, ...]:
+        """The upstreams that may take new work."""
+        return tuple(u for u in self.upstreams if not u.leaving)
+
+
+def make_service(name: str, address: str, upstreams: typing.Iterable[Endpoint]) -> Service:
+    """Return a service with its key worked out."""
+    return Service(name, address, tuple(upstreams), key_of(name))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """Services by name, endpoints by key, and the balancers, all at one revision."""
+
+    revision: int
+    services: dict[str, Service]
+    endpoints: dict[int, Endpoint]
+    balancers: tuple[Address, ...]
+
+    def services_of(self, name: str) -> frozenset[str]:
+        """Return the names of the services that the upstream called `name` serves."""
+        return frozenset(
+            s.name for s in self.services.values() if any(u.name == name for u in s.upstreams)
+        )
+
+
+def make_view(
+    revision: int,
+    services: typing.Iterable[Service],
+    endpoints: typing.Iterable[Endpoint] = (),
+    balancers: typing.Iterable[Address] = (),
+) -> View:
+    """Return a view; endpoints that a service names need not be listed again."""
+    by_name = {s.name: s for s in services}
+    by_key = {e.key: e for e in endpoints}
+    for service in by_name.values():
+        by_key.update((u.key, u) for u in service.upstreams)
+    return View(revision, by_name, by_key, tuple(balancers))
+
+
+EMPTY = View(0, {}, {}, ())
--- /dev/null
+++ b/src/ebonystile/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run the decision cores: sockets, threads and clocks around them."""
--- /dev/null
+++ b/src/ebonystile/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Speak with operators: status, metrics and the stream of events."""
--- /dev/null
+++ b/src/ebonystile/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Speak with the system's other processes: sealed datagrams and bulk exchanges."""
--- /dev/null
+++ b/src/ebonystile/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Speak with the upstream beside a sidecar over HTTP."""
