--- /dev/null
+++ b/src/ebonystile/core/call.py
@@ -0,0 +1,457 @@
+"""Decide what a caller sends: one flow's opens, requests and feeds, as a plain state machine.
+
+`Call.decide` methods take commands, datagrams and ticks with the time in ms; datagrams to send and
+final outcomes are gathered in `outbox` and `outcomes`. The caller library and tests drive it.
+"""
+
+import dataclasses
+import enum
+
+from ebonystile.caller import messages
+from ebonystile.core import state
+
+RESEND_FIRST = 200
+"""Time in ms until the first resend; each later one waits twice as long, up to the limit."""
+
+RESEND_LIMIT = 2_000
+
+UNKNOWN_LIMIT = 3
+"""How many times a flow must be called unknown, a resend apart, before the caller believes it.
+
+Views reach the sidecars at different times, so one walk may miss a home that the next finds.
+"""
+
+SETTLE_GRACE = 2_000
+"""How long after its deadline a request that must not be repeated may still be settled, in ms."""
+
+HEARTBEAT = 60_000
+"""Time between heartbeats of an open flow, in ms."""
+
+FEED_SILENCE = 1_000
+"""After this long without an event, in ms, a feed is asked for anew from its position."""
+
+
+class Outcome(enum.Enum):
+    """How a request ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "outcome_unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """The final word on a request: an answer, or why there is none and when to come back."""
+
+    request: bytes
+    outcome: Outcome
+    status: int = 0
+    body: bytes = b""
+    reason: str = ""
+    retry_at: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A request under way."""
+
+    id: bytes
+    path: str
+    body: bytes
+    deadline: int
+    idempotent: bool
+    total: int
+    missing: tuple[int, ...] = ()
+    uploaded: bool = False
+    resend_at: int = 0
+    wait: int = RESEND_FIRST
+    unknown: int = 0
+    sent: bool = False
+    settling: bool = False
+    cancelled: bool = False
+    answer: bytes = b""
+    answer_total: int = 0
+    answer_parts: dict[int, bytes] = dataclasses.field(default_factory=dict)
+    status: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Subscription:
+    """A feed the caller follows; `position` is the last event delivered."""
+
+    id: bytes
+    path: str
+    position: int
+    heard_at: int = 0
+    resend_at: int = 0
+    unknown: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One event of a feed, delivered once and in order."""
+
+    subscription: bytes
+    position: int
+    body: bytes
+
+
+class Call:
+    """One flow as its caller sees it."""
+
+    def __init__(self, service: str, randomness: state.Randomness, now: int, deadline: int):
+        self.service = service
+        self.randomness = randomness
+        self.flow = randomness.randbytes(messages.ID_BYTES)
+        self.token = b""
+        self.attempt = 0
+        self.open_deadline = deadline
+        self.open_resend_at = now
+        self.refusal: messages.OpenRefused | None = None
+        self.closed = False
+        self.reopened = 0
+        self.heartbeat_at = now + HEARTBEAT
+        self.pending: dict[bytes, Pending] = {}
+        self.subscriptions: dict[bytes, Subscription] = {}
+        self.outbox: list[bytes] = []
+        self.outcomes: list[Result] = []
+        self.events: list[Event] = []
+        self.tick(now)
+
+    # Commands
+
+    def request(self, path: str, body: bytes, deadline: int, idempotent: bool, now: int) -> bytes:
+        """Begin a request and return its id."""
+        total = max(1, -(-len(body) // messages.PART_BYTES))
+        pending = Pending(
+            self.randomness.randbytes(messages.ID_BYTES), path, body, deadline, idempotent, total
+        )
+        pending.missing = tuple(range(min(total, messages.WINDOW)))
+        self.pending[pending.id] = pending
+        if self.token:
+            self.send_request(pending, now)
+        return pending.id
+
+    def subscribe(self, path: str, position: int, now: int) -> bytes:
+        """Begin to follow a feed after `position` and return the subscription's id."""
+        subscription = Subscription(self.randomness.randbytes(messages.ID_BYTES), path, position)
+        self.subscriptions[subscription.id] = subscription
+        if self.token:
+            self.send_subscribe(subscription, now)
+        return subscription.id
+
+    def unsubscribe(self, subscription: bytes) -> None:
+        """Stop following a feed."""
+        self.subscriptions.pop(subscription, None)
+
+    def cancel(self, request: bytes, now: int) -> None:
+        """Ask for a request to be stopped; its final word still comes."""
+        pending = self.pending.get(request)
+        if pending is not None:
+            pending.cancelled = True
+            pending.resend_at = now
+            self.tick(now)
+
+    def settle(self, request: bytes, now: int) -> None:
+        """Ask what became of a request, barring it if it never came whole."""
+        pending = self.pending.get(request)
+        if pending is not None:
+            pending.settling = True
+            pending.resend_at = now
+            self.tick(now)
+
+    def close(self) -> None:
+        """End the flow."""
+        self.closed = True
+        if self.token:
+            self.send(messages.Close(self.flow, self.service, self.token))
+
+    # Time
+
+    def tick(self, now: int) -> None:
+        """Resend what has waited long enough and end what has run out of time."""
+        if self.closed:
+            return
+        if not self.token:
+            self.tick_open(now)
+        elif self.heartbeat_at <= now:
+            self.heartbeat_at = now + HEARTBEAT
+            self.send(messages.Heartbeat(self.flow, self.service, self.token))
+        for pending in list(self.pending.values()):
+            self.tick_request(pending, now)
+        for subscription in self.subscriptions.values():
+            silent = now - subscription.heard_at >= FEED_SILENCE
+            if self.token and silent and subscription.resend_at <= now:
+                self.send_subscribe(subscription, now)
+
+    def tick_open(self, now: int) -> None:
+        """Open the flow, each time at the next upstream of its ranking."""
+        if self.open_resend_at > now or now >= self.open_deadline:
+            return
+        self.open_resend_at = now + RESEND_FIRST
+        opening = messages.Open(self.flow, self.service, b"", self.attempt, self.open_deadline, b"")
+        lacking = messages.OPEN_BYTES - len(messages.FROM_CALLER.encode(opening))
+        self.send(dataclasses.replace(opening, padding=bytes(max(0, lacking))))
+        self.attempt += 1
+
+    def tick_request(self, pending: Pending, now: int) -> None:
+        """Resend a request, settle it after its deadline, or end it."""
+        if now >= pending.deadline:
+            self.overdue(pending, now)
+        if pending.id not in self.pending or not self.token or pending.resend_at > now:
+            return
+        self.back_off(pending, now)
+        if pending.settling:
+            self.send(
+                messages.Settle(self.flow, self.service, self.token, pending.id, pending.deadline)
+            )
+        elif pending.cancelled:
+            self.send(messages.Cancel(self.flow, self.service, self.token, pending.id))
+        elif pending.answer:
+            self.fetch(pending)
+        else:
+            self.send_request(pending, now)
+
+    def overdue(self, pending: Pending, now: int) -> None:
+        """Settle a request whose deadline has passed; give it up after a grace."""
+        if not pending.sent:
+            self.finish(
+                Result(pending.id, Outcome.NOT_RUN, reason="it was never sent", retry_at=now)
+            )
+        elif now >= pending.deadline + SETTLE_GRACE:
+            self.finish(Result(pending.id, Outcome.UNKNOWN, reason="no answer in time"))
+        elif not pending.settling and not pending.answer:
+            pending.settling = True
+            pending.resend_at = now
+            pending.wait = RESEND_FIRST
+
+    def back_off(self, pending: Pending, now: int) -> None:
+        """Set the time of the next resend."""
+        pending.resend_at = now + pending.wait
+        pending.wait = min(RESEND_LIMIT, pending.wait * 2)
+
+    # Sending
+
+    def send(self, message: messages.FromCaller) -> None:
+        """Put a datagram into the outbox."""
+        self.outbox.append(messages.FROM_CALLER.encode(message))
+
+    def send_request(self, pending: Pending, now: int) -> None:
+        """Send the parts known to be missing; the last of them asks for a report."""
+        if pending.resend_at <= now:
+            pending.resend_at = now + pending.wait
+        numbers = pending.missing or (pending.total - 1,)
+        pending.sent = True
+        for number in numbers:
+            start = number * messages.PART_BYTES
+            self.send(
+                messages.Request(
+                    self.flow,
+                    self.service,
+                    self.token,
+                    pending.id,
+                    pending.deadline,
+                    pending.idempotent,
+                    pending.path,
+                    number,
+                    pending.total,
+                    number == numbers[-1],
+                    pending.body[start : start + messages.PART_BYTES],
+                )
+            )
+
+    def send_subscribe(self, subscription: Subscription, now: int) -> None:
+        """Ask for a feed from its position on."""
+        subscription.resend_at = now + RESEND_FIRST * 2
+        self.send(
+            messages.Subscribe(
+                self.flow,
+                self.service,
+                self.token,
+                subscription.id,
+                subscription.path,
+                subscription.position,
+            )
+        )
+
+    def fetch(self, pending: Pending) -> None:
+        """Ask for the first missing parts of the answer."""
+        numbers = []
+        for number in range(pending.answer_total):
+            if number not in pending.answer_parts:
+                numbers.append(number)
+                if len(numbers) == messages.WINDOW:
+                    break
+        self.send(
+            messages.Fetch(
+                self.flow, self.service, self.token, pending.id, pending.answer, tuple(numbers)
+            )
+        )
+
+    # Receiving
+
+    def receive(self, message: messages.ToCaller, now: int) -> None:
+        """Take in a datagram that the system sent for this flow."""
+        if message.flow != self.flow:
+            return
+        handler = getattr(self, "on_" + type(message).__name__.lower(), None)
+        if handler is not None:
+            handler(message, now)
+
+    def on_opened(self, message: messages.Opened, now: int) -> None:
+        """Keep the first token; close a second home that a repeated open has made."""
+        if self.token and message.token != self.token:
+            self.send(messages.Close(self.flow, self.service, message.token))
+            return
+        if self.token:
+            return
+        self.token = message.token
+        self.refusal = None
+        for pending in self.pending.values():
+            self.send_request(pending, now)
+        for subscription in self.subscriptions.values():
+            self.send_subscribe(subscription, now)
+
+    def on_openrefused(self, message: messages.OpenRefused, now: int) -> None:
+        """Come back when told to."""
+        if not self.token:
+            self.refusal = message
+            self.open_resend_at = max(self.open_resend_at, message.retry_at)
+
+    def on_moved(self, message: messages.Moved, now: int) -> None:
+        """Use the new home's token from now on."""
+        self.token = message.token
+        for subscription in self.subscriptions.values():
+            subscription.resend_at = min(subscription.resend_at, now)
+
+    def on_progress(self, message: messages.Progress, now: int) -> None:
+        """Send the missing parts."""
+        pending = self.pending.get(message.request)
+        if pending is None or not message.missing:
+            return
+        pending.missing = tuple(n for n in message.missing if 0 <= n < pending.total)
+        pending.wait = RESEND_FIRST
+        pending.resend_at = now
+        self.send_request(pending, now)
+
+    def on_running(self, message: messages.Running, now: int) -> None:
+        """Go on waiting; later copies need only ask."""
+        pending = self.pending.get(message.request)
+        if pending is not None:
+            pending.missing = ()
+            pending.unknown = 0
+
+    def on_answerpart(self, message: messages.AnswerPart, now: int) -> None:
+        """Gather the answer; parts of another run of the request start it anew."""
+        pending = self.pending.get(message.request)
+        if pending is None:
+            return
+        if pending.answer != message.answer:
+            pending.answer = message.answer
+            pending.answer_total = message.parts
+            pending.answer_parts = {}
+            pending.status = message.status
+        if not 0 <= message.part < pending.answer_total:
+            return
+        pending.answer_parts[message.part] = message.body
+        pending.wait = RESEND_FIRST
+        pending.resend_at = now + RESEND_FIRST
+        have = len(pending.answer_parts)
+        if have == pending.answer_total:
+            body = b"".join(pending.answer_parts[n] for n in range(have))
+            self.finish(Result(pending.id, Outcome.ANSWERED, pending.status, body))
+        elif have % messages.WINDOW == 0:
+            self.fetch(pending)
+
+    def on_notrun(self, message: messages.NotRun, now: int) -> None:
+        """End a request that never was run."""
+        self.finish(
+            Result(
+                message.request,
+                Outcome.NOT_RUN,
+                reason=message.reason,
+                retry_at=message.retry_at,
+            )
+        )
+
+    def on_outcomeunknown(self, message: messages.OutcomeUnknown, now: int) -> None:
+        """End a request whose outcome nobody knows."""
+        self.finish(
+            Result(
+                message.request,
+                Outcome.UNKNOWN,
+                reason=message.reason,
+                retry_at=message.retry_at,
+            )
+        )
+
+    def on_unknownflow(self, message: messages.UnknownFlow, now: int) -> None:
+        """Believe that the home is lost once several walks, a resend apart, say so."""
+        subscription = self.subscriptions.get(message.request)
+        if subscription is not None:
+            subscription.unknown += 1
+            if subscription.unknown >= UNKNOWN_LIMIT:
+                self.reopen(now)
+            return
+        pending = self.pending.get(message.request)
+        if pending is None:
+            return
+        pending.unknown += 1
+        if pending.unknown < UNKNOWN_LIMIT:
+            return
+        if pending.idempotent:
+            self.reopen(now)
+        else:
+            self.finish(Result(pending.id, Outcome.UNKNOWN, reason="the flow's home is lost"))
+
+    def on_feedevent(self, message: messages.FeedEvent, now: int) -> None:
+        """Deliver the next event once; whatever else comes is only acknowledged."""
+        subscription = self.subscriptions.get(message.request)
+        if subscription is None:
+            return
+        subscription.heard_at = now
+        subscription.unknown = 0
+        if message.position == subscription.position + 1:
+            subscription.position = message.position
+            self.events.append(Event(subscription.id, message.position, message.body))
+        self.send(
+            messages.Acknowledge(
+                self.flow, self.service, self.token, subscription.id, subscription.position
+            )
+        )
+
+    def on_feedended(self, message: messages.FeedEnded, now: int) -> None:
+        """Ask for the feed anew when told to."""
+        subscription = self.subscriptions.get(message.request)
+        if subscription is not None:
+            subscription.resend_at = max(now, message.retry_at)
+
+    def reopen(self, now: int) -> None:
+        """Open the flow anew after its home was lost, under a new id, and go on.
+
+        Requests that must not be repeated end as unknown: the lost home may have run them.
+        """
+        self.reopened += 1
+        for pending in list(self.pending.values()):
+            if pending.sent and not pending.idempotent:
+                self.finish(Result(pending.id, Outcome.UNKNOWN, reason="the flow's home is lost"))
+            pending.unknown = 0
+            pending.answer = b""
+            pending.answer_parts = {}
+            pending.missing = tuple(range(min(pending.total, messages.WINDOW)))
+        for subscription in self.subscriptions.values():
+            subscription.unknown = 0
+        self.flow = self.randomness.randbytes(messages.ID_BYTES)
+        self.token = b""
+        self.attempt = 0
+        self.open_resend_at = now
+        self.open_deadline = max(
+            [self.open_deadline, now + RESEND_LIMIT * 15]
+            + [pending.deadline for pending in self.pending.values()]
+        )
+        self.tick_open(now)
+
+    def finish(self, result: Result) -> None:
+        """Record the final word on a request, once."""
+        if self.pending.pop(result.request, None) is not None:
+            self.outcomes.append(result)
--- /dev/null
+++ b/src/ebonystile/core/handover.py
@@ -0,0 +1,284 @@
+"""Move flows to another sidecar without a moment at which two of them may run a request.
+
+The old home fences the flow first and never again runs anything for it; then it sends the flow to
+one target, again and again under one id, until the target has said yes or surely no.
+"""
+
+from ebonystile.caller import messages as caller_messages
+from ebonystile.core import effects, events, flows, ledger, opening, ranking, requests, state, view
+from ebonystile.peer import transfer
+
+TRANSFER_ID_BYTES = 16
+
+
+def must_move(home: state.State, flow: flows.Flow) -> bool:
+    """Whether the flow lives here but should not any more."""
+    return flow.moved_to is None and (home.leaving != "" or flow.service not in home.serves)
+
+
+def advance(home: state.State, now: int) -> None:
+    """Take every flow that must move a step further."""
+    if not home.moving:
+        return
+    home.moving = False
+    for flow in list(home.flows.values()):
+        if flow.handover is not None or must_move(home, flow):
+            home.moving = True
+        if flow.handover is not None and not flow.handover.in_flight:
+            if flow.handover.retry_at <= now:
+                send(home, flow, now)
+        elif flow.handover is None and must_move(home, flow):
+            fence(home, flow, now)
+
+
+def fence(home: state.State, flow: flows.Flow, now: int) -> None:
+    """Stop the flow here for good and begin its transfer, once nothing of it runs."""
+    records = home.ledger.of_flow(flow.id)
+    if any(entry.state in ledger.PENDING for entry in records):
+        return
+    target = next_target(home, flow, frozenset())
+    if target is None:
+        return
+    for entry in records:
+        if entry.state is ledger.State.RECEIVING:
+            # Nothing was said of it and nothing ran: the caller sends the parts to the new home.
+            requests.forget_parts(home, entry)
+            home.ledger.remove(entry)
+    flow.handover = flows.Handover(
+        home.randomness.randbytes(TRANSFER_ID_BYTES),
+        target,
+        now + home.limits.handover_deadline,
+    )
+    home.trace("fenced", flow.id, target=target.name)
+    send(home, flow, now)
+
+
+def next_target(
+    home: state.State, flow: flows.Flow, refused: frozenset[int] | set[int]
+) -> view.Endpoint | None:
+    """Return the sibling that comes first in the flow's ranking and has not refused."""
+    choices = (u for u in home.siblings(flow.service) if u.key not in refused)
+    return ranking.first(flow.id, choices)
+
+
+def send(home: state.State, flow: flows.Flow, now: int) -> None:
+    """Send the flow to its target; the first time only ask which incarnation runs there."""
+    handover = flow.handover
+    if handover.deadline <= now and not handover.committed:
+        handover.deadline = now + home.limits.handover_deadline
+    if handover.incarnation:
+        handover.committed = True
+    handover.in_flight = True
+    home.emit(effects.SendTransfer(handover.target.address, content(home, flow)))
+
+
+def content(home: state.State, flow: flows.Flow) -> transfer.Transfer:
+    """Return the flow as its target needs it; only the question if its incarnation is unknown."""
+    handover = flow.handover
+    records = ()
+    feeds = ()
+    if handover.incarnation:
+        records = tuple(record_of(entry) for entry in home.ledger.of_flow(flow.id))
+        feeds = tuple((f.request, f.path, f.acknowledged) for f in flow.feeds.values())
+    return transfer.Transfer(
+        handover.id,
+        handover.incarnation,
+        handover.deadline,
+        flow.id,
+        flow.service,
+        tuple(sorted(flow.answers_for)),
+        flow.caller,
+        flow.via,
+        max(flow.forgotten_before, home.ledger.forgotten_before),
+        flow.barred_before,
+        records,
+        feeds,
+    )
+
+
+def record_of(entry: ledger.Entry) -> tuple:
+    """Return a finished record as a transfer carries it."""
+    return (
+        entry.request,
+        int(entry.state),
+        entry.service,
+        entry.deadline,
+        entry.idempotent,
+        entry.keep_until,
+        entry.answer,
+        entry.status,
+        entry.body,
+        entry.reason,
+        entry.retry_at,
+    )
+
+
+def on_answered(home: state.State, event: events.TransferAnswered, now: int) -> None:
+    """Go on with what the target said."""
+    flow = home.flows.get(event.flow)
+    if flow is None or flow.handover is None or flow.handover.id != event.reply.id:
+        return
+    handover = flow.handover
+    handover.in_flight = False
+    if event.reply.accepted:
+        complete(home, flow)
+    elif handover.incarnation == 0:
+        handover.incarnation = event.reply.incarnation
+        if event.reply.reason:
+            try_another(home, flow, now)
+        else:
+            send(home, flow, now)
+    elif event.reply.incarnation != handover.incarnation:
+        restart_with_doubt(home, flow, event.reply.incarnation, now)
+    else:
+        try_another(home, flow, now)
+
+
+def complete(home: state.State, flow: flows.Flow) -> None:
+    """Turn the flow into a signpost to its new home."""
+    flow.moved_to = flow.handover.target
+    flow.handover = None
+    flow.feeds.clear()
+    for entry in home.ledger.of_flow(flow.id):
+        home.ledger.remove(entry)
+    home.handovers_done += 1
+    home.trace("handed_over", flow.id, target=flow.moved_to.name)
+
+
+def restart_with_doubt(home: state.State, flow: flows.Flow, incarnation: int, now: int) -> None:
+    """Send the flow to a target that was restarted after it may have taken the flow.
+
+    The lost incarnation may have run requests that nobody remembers. Whoever asks the new one for
+    a request that could be among them must hear that its outcome is unknown; a second run would
+    otherwise follow. Its process has ended, so it cannot run any more of them.
+    """
+    handover = flow.handover
+    handover.incarnation = incarnation
+    flow.forgotten_before = now + home.limits.max_deadline
+    home.trace("handover_doubt", flow.id, target=handover.target.name)
+    send(home, flow, now)
+
+
+def try_another(home: state.State, flow: flows.Flow, now: int) -> None:
+    """Go to the next sibling after one that has refused for good, under a new transfer id."""
+    handover = flow.handover
+    handover.refused_by.add(handover.target.key)
+    target = next_target(home, flow, handover.refused_by)
+    if target is None:
+        handover.refused_by.clear()
+        target = next_target(home, flow, frozenset())
+    if target is None:
+        target = handover.target
+    flow.handover = flows.Handover(
+        home.randomness.randbytes(TRANSFER_ID_BYTES),
+        target,
+        now + home.limits.handover_deadline,
+        retry_at=now + home.limits.handover_retry,
+        refused_by=handover.refused_by,
+    )
+
+
+def on_failed(home: state.State, event: events.TransferFailed, now: int) -> None:
+    """Try again: elsewhere if only the question was sent, else the same target and id."""
+    flow = home.flows.get(event.flow)
+    if flow is None or flow.handover is None or flow.handover.id != event.id:
+        return
+    flow.handover.in_flight = False
+    home.trace("handover_failed", flow.id, reason=event.reason)
+    if flow.handover.committed:
+        flow.handover.retry_at = now + home.limits.handover_retry
+    else:
+        try_another(home, flow, now)
+
+
+def on_arrived(home: state.State, event: events.TransferArrived, now: int) -> None:
+    """Take a flow over, or refuse it for good; the same transfer gets the same answer again."""
+    message = event.transfer
+    accepted = message.id in home.accepted_transfers
+    reason = ""
+    if not accepted and message.incarnation in (0, home.incarnation):
+        reason = reason_against(home, message, now)
+    if not accepted and message.incarnation == home.incarnation:
+        if reason:
+            home.refused_transfers[message.id] = message.deadline
+        else:
+            adopt(home, message, now)
+            accepted = True
+    reply = transfer.TransferReply(message.id, home.incarnation, accepted, reason)
+    home.emit(effects.AnswerTransfer(event.handle, reply))
+
+
+def reason_against(home: state.State, message: transfer.Transfer, now: int) -> str:
+    """Return why the flow cannot be taken, or an empty string.
+
+    What was refused once stays refused: the old home has gone to another sidecar by then, and a
+    copy of the transfer that was held up on the way would make a second home.
+    """
+    if message.id in home.refused_transfers:
+        return "refused before"
+    if message.incarnation and message.deadline <= now:
+        return "the transfer's deadline has passed"
+    if not home.serving(message.service):
+        return home.leaving or "does not serve the service now"
+    if len(home.flows) >= home.limits.flows and message.flow not in home.flows:
+        return "the flow limit is reached"
+    if home.ledger.full:
+        return "the ledger is full"
+    return ""
+
+
+def adopt(home: state.State, message: transfer.Transfer, now: int) -> None:
+    """Become the flow's home; an idle home of the same flow is replaced."""
+    known = home.flows.get(message.flow)
+    answers_for = set(message.answers_for)
+    if known is not None:
+        answers_for |= known.answers_for
+    incarnation = opening.new_incarnation(home)
+    flow = flows.Flow(
+        message.flow,
+        message.service,
+        view.Token(home.key, incarnation, view.key_of(message.service)).pack(),
+        tuple(message.caller),
+        tuple(message.via),
+        now + home.limits.flow_lease,
+        answers_for | {incarnation},
+        message.forgotten_before,
+        message.barred_before,
+    )
+    for request, path, position in message.feeds:
+        flow.feeds[request] = flows.Feed(request, path, position, position)
+        home.fed.add(flow.id)
+        home.sources.setdefault(path, state.Source(path, message.service, newest=position))
+    home.flows[flow.id] = flow
+    for record in message.records:
+        adopt_record(home, flow, record)
+    home.accepted_transfers[message.id] = message.deadline
+    home.trace("adopted", flow.id, service=flow.service)
+    home.tell(flow, caller_messages.Moved(flow.id, flow.token, flow.lease_until))
+
+
+def adopt_record(home: state.State, flow: flows.Flow, record: tuple) -> None:
+    """Enter a finished record of the old home."""
+    request, number, service, deadline, idempotent, keep_until, *outcome = record
+    if home.ledger.get(flow.id, request) is not None:
+        return
+    entry = ledger.Entry(
+        flow.id,
+        request,
+        service,
+        "",
+        deadline,
+        idempotent,
+        0,
+        ledger.State(number),
+        keep_until,
+    )
+    entry.answer, entry.status, entry.body, entry.reason, entry.retry_at = outcome
+    home.ledger.add(entry)
+
+
+def expire(home: state.State, now: int) -> None:
+    """Forget transfers that can no longer arrive: past their deadline they are refused."""
+    for known in (home.accepted_transfers, home.refused_transfers):
+        for id_ in [i for i, deadline in known.items() if deadline <= now]:
+            del known[id_]
--- /dev/null
+++ b/src/ebonystile/core/ledger.py
@@ -0,0 +1,122 @@
+"""Remember every request that a sidecar may have run, so that none runs twice.
+
+A request is entered before the upstream sees it and its record is kept until its deadline and a
+margin have passed; nothing runs past its deadline, so a later copy cannot start a second run. The
+bounds hold by refusing new requests, never by dropping records early.
+"""
+
+import dataclasses
+import enum
+import heapq
+
+Key = tuple[bytes, bytes]
+"""Flow id and request id."""
+
+
+class State(enum.IntEnum):
+    """Where a request stands; the values travel in transfers."""
+
+    RECEIVING = 1
+    QUEUED = 2
+    RUNNING = 3
+    ANSWERED = 4
+    NOT_RUN = 5
+    UNKNOWN = 6
+
+
+FINAL = frozenset({State.ANSWERED, State.NOT_RUN, State.UNKNOWN})
+PENDING = frozenset({State.QUEUED, State.RUNNING})
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """One request: its parts on the way in, its outcome on the way out. Times in ms."""
+
+    flow: bytes
+    request: bytes
+    service: str
+    path: str
+    deadline: int
+    idempotent: bool
+    total: int
+    state: State
+    keep_until: int
+    parts: dict[int, bytes] = dataclasses.field(default_factory=dict)
+    started_at: int = 0
+    answer: bytes = b""
+    status: int = 0
+    body: bytes = b""
+    reason: str = ""
+    retry_at: int = 0
+    cancelled: bool = False
+
+    @property
+    def key(self) -> Key:
+        """The ledger's key of this request."""
+        return (self.flow, self.request)
+
+
+class Ledger:
+    """The records of one sidecar, bounded in time by deadlines and in number by `limit`.
+
+    A request without a record and with a deadline at or before `forgotten_before` may have had
+    one that was dropped, so nobody can tell any more whether it was run.
+    """
+
+    def __init__(self, limit: int, margin: int):
+        self.limit = limit
+        self.margin = margin
+        self.entries: dict[Key, Entry] = {}
+        self.by_flow: dict[bytes, dict[bytes, Entry]] = {}
+        self.expiries: list[tuple[int, Key]] = []
+        self.forgotten_before = 0
+
+    def get(self, flow: bytes, request: bytes) -> Entry | None:
+        """Return the record of the request, or None."""
+        return self.entries.get((flow, request))
+
+    def of_flow(self, flow: bytes) -> list[Entry]:
+        """Return the records of one flow."""
+        return list(self.by_flow.get(flow, {}).values())
+
+    @property
+    def full(self) -> bool:
+        """Whether a new request must be refused."""
+        return len(self.entries) >= self.limit
+
+    def add(self, entry: Entry) -> None:
+        """Enter a record."""
+        self.entries[entry.key] = entry
+        self.by_flow.setdefault(entry.flow, {})[entry.request] = entry
+        heapq.heappush(self.expiries, (entry.keep_until, entry.key))
+
+    def remove(self, entry: Entry) -> None:
+        """Forget a record whose request can no longer run, or that has moved elsewhere."""
+        del self.entries[entry.key]
+        requests = self.by_flow[entry.flow]
+        del requests[entry.request]
+        if not requests:
+            del self.by_flow[entry.flow]
+
+    def expire(self, now: int) -> list[Entry]:
+        """Drop and return the records whose time is over; running ones stay until they end."""
+        over = []
+        while self.expiries and self.expiries[0][0] <= now:
+            _, key = heapq.heappop(self.expiries)
+            entry = self.entries.get(key)
+            if entry is None:
+                continue
+            if entry.state in PENDING or entry.keep_until > now:
+                heapq.heappush(self.expiries, (max(entry.keep_until, now + self.margin), key))
+                continue
+            self.remove(entry)
+            over.append(entry)
+        self.forgotten_before = max(self.forgotten_before, now - self.margin)
+        return over
+
+
+def make_tombstone(
+    flow: bytes, request: bytes, service: str, deadline: int, keep_until: int
+) -> Entry:
+    """Return a record that keeps any copy of the request from running here."""
+    return Entry(flow, request, service, "", deadline, False, 0, State.NOT_RUN, keep_until)
--- /dev/null
+++ b/src/ebonystile/core/opening.py
@@ -0,0 +1,62 @@
+"""Give a flow a home here, or pass the open on to a sibling."""
+
+from ebonystile.caller import messages as caller_messages
+from ebonystile.core import flows, state, view
+from ebonystile.peer import messages
+
+RETRY_OPEN = 250
+"""Shortest time, in ms, after which a caller is asked to open again; up to twice that."""
+
+INCARNATION_BYTES = 8
+
+
+def new_incarnation(home: state.State) -> int:
+    """Return the number of a new home; nobody can guess it."""
+    return int.from_bytes(home.randomness.randbytes(INCARNATION_BYTES))
+
+
+def on_open(
+    home: state.State, forward: messages.Forward, message: caller_messages.Open, now: int
+) -> None:
+    """Answer an open with a token, here or at a sibling; repeating it changes nothing."""
+    flow = home.flows.get(message.flow)
+    if flow is not None and flow.service == message.service:
+        flow.caller = forward.caller
+        flow.via = forward.via
+        if flow.moved_to is not None:
+            home.forward_to(flow.moved_to, forward)
+        elif flow.handover is None:
+            tell_opened(home, flow, message.attempt)
+        return
+    if flow is None and home.serving(message.service) and len(home.flows) < home.limits.flows:
+        tell_opened(home, take(home, forward, message, now), message.attempt)
+        return
+    if not home.pass_on(forward, message.flow, message.service):
+        retry_at = now + int(RETRY_OPEN * (1 + home.randomness.random()))
+        reason = "no upstream of the service takes new flows"
+        refusal = caller_messages.OpenRefused(message.flow, message.attempt, reason, retry_at)
+        home.reply(forward.caller, forward.via, refusal)
+
+
+def take(
+    home: state.State, forward: messages.Forward, message: caller_messages.Open, now: int
+) -> flows.Flow:
+    """Make this sidecar the flow's home."""
+    incarnation = new_incarnation(home)
+    flow = flows.Flow(
+        message.flow,
+        message.service,
+        view.Token(home.key, incarnation, view.key_of(message.service)).pack(),
+        forward.caller,
+        forward.via,
+        now + home.limits.flow_lease,
+        {incarnation},
+    )
+    home.flows[flow.id] = flow
+    home.trace("opened", flow.id, service=flow.service)
+    return flow
+
+
+def tell_opened(home: state.State, flow: flows.Flow, attempt: int) -> None:
+    """Tell the caller its token. The answer is no larger than the open that asked."""
+    home.tell(flow, caller_messages.Opened(flow.id, flow.token, attempt, flow.lease_until))
--- /dev/null
+++ b/src/ebonystile/core/requests.py
@@ -0,0 +1,414 @@
+"""Take requests in, run each at most once, and say truthfully what became of it."""
+
+import functools
+
+from ebonystile.caller import messages
+from ebonystile.core import effects, events, flows, ledger, state
+
+ANSWER_ID_BYTES = 8
+
+RETRY_LEAST = 100
+"""Shortest time, in ms, after which a refused caller is asked to come back."""
+
+
+def fate(home: state.State, flow: flows.Flow, deadline: int) -> ledger.State | None:
+    """Return what is to be said of a request without a record, or None if it may be taken in."""
+    forgotten = max(home.ledger.forgotten_before, flow.forgotten_before)
+    if deadline <= forgotten:
+        return ledger.State.UNKNOWN
+    if deadline <= flow.barred_before:
+        return ledger.State.NOT_RUN
+    return None
+
+
+def retry_time(home: state.State, now: int) -> int:
+    """Return when a refused caller should come back, spread so that callers do not in step."""
+    wait = max(RETRY_LEAST, home.slots.expected_wait())
+    return now + int(wait * (1 + home.randomness.random()))
+
+
+def refuse(
+    home: state.State,
+    flow: flows.Flow,
+    request: bytes,
+    deadline: int,
+    reason: str,
+    now: int,
+    retry_at: int | None = None,
+) -> None:
+    """Say for good, at once, that the request was not run, and make sure that it never will be.
+
+    The tombstone goes in before the word goes out. Without it a copy delayed in the fabric could
+    run after the caller has been told that it did not, and has asked elsewhere: it would run
+    twice. The tombstone outlives the deadline, past which nothing runs. With the ledger full there
+    is no room for one; then the flow refuses everything unknown up to that deadline instead.
+    """
+    if retry_at is None:
+        retry_at = retry_time(home, now)
+    entry = home.ledger.get(flow.id, request)
+    if entry is None and home.ledger.full:
+        flow.barred_before = max(flow.barred_before, deadline)
+    elif entry is None:
+        keep_until = max(deadline, now) + home.limits.ledger_margin
+        entry = ledger.make_tombstone(flow.id, request, flow.service, deadline, keep_until)
+        home.ledger.add(entry)
+    if entry is not None:
+        forget_parts(home, entry)
+        entry.state = ledger.State.NOT_RUN
+        entry.reason = reason
+        entry.retry_at = retry_at
+    home.trace("not_run", flow.id, request, reason=reason)
+    home.tell(flow, messages.NotRun(flow.id, request, reason, retry_at))
+
+
+def forget_parts(home: state.State, entry: ledger.Entry) -> None:
+    """Free the memory of a request's parts."""
+    home.upload_bytes -= sum(len(part) for part in entry.parts.values())
+    entry.parts = {}
+
+
+def tell_unknown(
+    home: state.State, flow: flows.Flow, request: bytes, reason: str, now: int
+) -> None:
+    """Say that nobody can tell whether the request was run."""
+    retry_at = retry_time(home, now)
+    home.tell(flow, messages.OutcomeUnknown(flow.id, request, reason, retry_at))
+
+
+def on_request(home: state.State, flow: flows.Flow, message: messages.Request, now: int) -> None:
+    """Take in one part of a request."""
+    entry = home.ledger.get(flow.id, message.request)
+    if entry is None:
+        entry = begin(home, flow, message, now)
+        if entry is None:
+            return
+    if entry.state is ledger.State.RECEIVING:
+        receive(home, flow, entry, message, now)
+    elif entry.state in ledger.PENDING:
+        if message.report:
+            home.tell(flow, messages.Running(flow.id, entry.request))
+    elif message.report:
+        tell_outcome(home, flow, entry, now)
+
+
+def begin(
+    home: state.State, flow: flows.Flow, message: messages.Request, now: int
+) -> ledger.Entry | None:
+    """Enter a request of which nothing is known yet, or refuse it and return None."""
+    verdict = fate(home, flow, message.deadline)
+    if verdict is ledger.State.UNKNOWN:
+        tell_unknown(home, flow, message.request, "its record may have been dropped", now)
+        return None
+    reason = reason_against(home, flow, message, now)
+    if verdict is ledger.State.NOT_RUN:
+        reason = "refused while the ledger was full"
+    if message.deadline > now + home.limits.max_deadline:
+        # A tombstone for it would have to be kept as long, without bound; but "not run" needs
+        # one. So nothing is promised, and nothing is run.
+        tell_unknown(home, flow, message.request, "the deadline is too far away", now)
+        return None
+    if reason:
+        refuse(home, flow, message.request, message.deadline, reason, now)
+        return None
+    entry = ledger.Entry(
+        flow.id,
+        message.request,
+        flow.service,
+        message.path,
+        message.deadline,
+        message.idempotent,
+        message.parts,
+        ledger.State.RECEIVING,
+        message.deadline + home.limits.ledger_margin,
+    )
+    home.ledger.add(entry)
+    return entry
+
+
+def reason_against(home: state.State, flow: flows.Flow, message: messages.Request, now: int) -> str:
+    """Return why a new request cannot be taken in now, or an empty string."""
+    if message.deadline <= now:
+        return "its deadline has passed"
+    if home.leaving:
+        return "the upstream is leaving"
+    if flow.service not in home.serves:
+        return "the upstream no longer serves the service"
+    if not home.caught_up:
+        return "the sidecar is catching up"
+    if home.ledger.full:
+        return "the ledger is full"
+    if not 0 < message.parts <= messages.MAX_PARTS:
+        return "the number of parts is out of bounds"
+    if home.upload_bytes > home.limits.upload_bytes:
+        return "too many uploads are under way"
+    return ""
+
+
+def receive(
+    home: state.State,
+    flow: flows.Flow,
+    entry: ledger.Entry,
+    message: messages.Request,
+    now: int,
+) -> None:
+    """Keep one part; hand the request on once it is whole, else report what is missing."""
+    if message.parts != entry.total or not 0 <= message.part < message.parts:
+        home.trace("dropped", flow.id, entry.request, reason="parts do not fit the request")
+        return
+    if message.part not in entry.parts:
+        entry.parts[message.part] = message.body
+        home.upload_bytes += len(message.body)
+    if len(entry.parts) == entry.total:
+        admit(home, flow, entry, now)
+    elif message.report:
+        missing = missing_parts(entry)
+        home.tell(flow, messages.Progress(flow.id, entry.request, len(entry.parts), missing))
+
+
+def missing_parts(entry: ledger.Entry) -> tuple[int, ...]:
+    """Return the numbers of the first missing parts, at most a window of them."""
+    missing = []
+    for number in range(entry.total):
+        if number not in entry.parts:
+            missing.append(number)
+            if len(missing) == messages.WINDOW:
+                break
+    return tuple(missing)
+
+
+def admit(home: state.State, flow: flows.Flow, entry: ledger.Entry, now: int) -> None:
+    """Start a whole request, queue it, or refuse it."""
+    reason = ""
+    if entry.deadline <= now:
+        reason = "its deadline has passed"
+    elif not home.serving(flow.service):
+        reason = home.leaving or "the upstream does not serve the service now"
+    elif not home.slots.has_room(entry.deadline, now):
+        reason = "it would not be done by its deadline"
+    if reason:
+        refuse(home, flow, entry.request, entry.deadline, reason, now)
+        return
+    entry.state = ledger.State.QUEUED
+    home.slots.queue[entry.key] = entry.deadline
+    home.trace("entered", flow.id, entry.request, path=entry.path)
+    start_waiting(home, now)
+    if entry.state is ledger.State.QUEUED or entry.total > 1:
+        home.tell(flow, messages.Running(flow.id, entry.request))
+
+
+def start_waiting(home: state.State, now: int) -> None:
+    """Start queued requests while slots are free, refusing those whose time has run out."""
+    while home.slots.queue and len(home.slots.running) < home.slots.limit:
+        key, deadline = home.slots.queue.popitem(last=False)
+        entry = home.ledger.entries[key]
+        flow = home.flows.get(entry.flow)
+        if flow is None or deadline <= now:
+            give_up(home, entry, "its deadline has passed", now)
+            continue
+        start(home, entry, now)
+
+
+def start(home: state.State, entry: ledger.Entry, now: int) -> None:
+    """Hand a request to the upstream. Its record stands in the ledger already."""
+    home.slots.running.add(entry.key)
+    entry.state = ledger.State.RUNNING
+    entry.started_at = now
+    body = b"".join(entry.parts[number] for number in range(entry.total))
+    forget_parts(home, entry)
+    home.trace("started", entry.flow, entry.request)
+    home.emit(
+        effects.RunRequest(
+            entry.key, entry.service, entry.path, body, entry.deadline, entry.idempotent
+        )
+    )
+
+
+def give_up(home: state.State, entry: ledger.Entry, reason: str, now: int) -> None:
+    """Refuse a request that has a record but has not started, whether its flow is here or not."""
+    flow = home.flows.get(entry.flow)
+    if flow is not None:
+        refuse(home, flow, entry.request, entry.deadline, reason, now)
+        return
+    forget_parts(home, entry)
+    entry.state = ledger.State.NOT_RUN
+    entry.reason = reason
+    entry.retry_at = retry_time(home, now)
+
+
+def give_up_queued(home: state.State, services: set[str] | None, reason: str, now: int) -> None:
+    """Refuse at once every queued request (of the named services, or all)."""
+    for key in list(home.slots.queue):
+        entry = home.ledger.entries[key]
+        if services is None or entry.service in services:
+            del home.slots.queue[key]
+            give_up(home, entry, reason, now)
+
+
+def finish(home: state.State, event: events.Finished, now: int) -> None:
+    """Record an answer, send its first window, and start what waits."""
+    entry = home.ledger.entries.get(event.key)
+    if entry is None or entry.state is not ledger.State.RUNNING:
+        return
+    home.slots.release(entry.key, entry.started_at, now)
+    if len(event.body) > home.limits.answer_bytes:
+        settle_failed(home, entry, "the answer is too large", True, 0, now)
+    else:
+        entry.state = ledger.State.ANSWERED
+        entry.answer = home.randomness.randbytes(ANSWER_ID_BYTES)
+        entry.status = event.status
+        entry.body = event.body
+        entry.keep_until = max(entry.keep_until, now + home.limits.ledger_margin)
+        home.trace("answered", entry.flow, entry.request, status=event.status)
+        flow = home.flows.get(entry.flow)
+        if flow is not None:
+            tell_outcome(home, flow, entry, now)
+    start_waiting(home, now)
+
+
+def fail(home: state.State, event: events.Failed, now: int) -> None:
+    """Record that the upstream gave no answer, and start what waits."""
+    entry = home.ledger.entries.get(event.key)
+    if entry is None or entry.state is not ledger.State.RUNNING:
+        return
+    home.slots.release(entry.key, entry.started_at, now)
+    settle_failed(home, entry, event.reason, event.may_have_run, event.retry_at, now)
+    start_waiting(home, now)
+
+
+def settle_failed(
+    home: state.State,
+    entry: ledger.Entry,
+    reason: str,
+    may_have_run: bool,
+    retry_at: int,
+    now: int,
+) -> None:
+    """Record the final word on a request that brought no answer, and tell its caller."""
+    entry.keep_until = max(entry.keep_until, now + home.limits.ledger_margin)
+    if not may_have_run:
+        entry.state = ledger.State.NOT_RUN
+        entry.reason = reason
+        entry.retry_at = max(retry_at, retry_time(home, now))
+    else:
+        entry.state = ledger.State.UNKNOWN
+        entry.reason = reason
+    home.trace("failed", entry.flow, entry.request, reason=reason, may_have_run=may_have_run)
+    flow = home.flows.get(entry.flow)
+    if flow is not None:
+        tell_outcome(home, flow, entry, now)
+
+
+def tell_outcome(home: state.State, flow: flows.Flow, entry: ledger.Entry, now: int) -> None:
+    """Tell the caller what the record says."""
+    if entry.state is ledger.State.ANSWERED:
+        send_parts(home, flow, entry, range(messages.WINDOW))
+    elif entry.state is ledger.State.NOT_RUN:
+        home.tell(flow, messages.NotRun(flow.id, entry.request, entry.reason, entry.retry_at))
+    elif entry.state is ledger.State.UNKNOWN:
+        tell_unknown(home, flow, entry.request, entry.reason, now)
+    else:
+        home.tell(flow, messages.Running(flow.id, entry.request))
+
+
+def send_parts(home: state.State, flow: flows.Flow, entry: ledger.Entry, numbers) -> None:
+    """Send the named parts of an answer; an empty answer has one empty part."""
+    total = max(1, -(-len(entry.body) // messages.PART_BYTES))
+    for number in numbers:
+        if not 0 <= number < total:
+            continue
+        start_byte = number * messages.PART_BYTES
+        home.tell(
+            flow,
+            messages.AnswerPart(
+                flow.id,
+                entry.request,
+                entry.answer,
+                number,
+                total,
+                entry.status,
+                entry.body[start_byte : start_byte + messages.PART_BYTES],
+            ),
+        )
+
+
+def on_fetch(home: state.State, flow: flows.Flow, message: messages.Fetch, now: int) -> None:
+    """Send the parts asked for, or what else the record says."""
+    entry = home.ledger.get(flow.id, message.request)
+    if entry is None:
+        tell_unknown(home, flow, message.request, "no record of it is left", now)
+    elif entry.state is ledger.State.ANSWERED and entry.answer == message.answer:
+        send_parts(home, flow, entry, message.parts[: messages.WINDOW])
+    else:
+        tell_outcome(home, flow, entry, now)
+
+
+def on_cancel(home: state.State, flow: flows.Flow, message: messages.Cancel, now: int) -> None:
+    """Stop a request: not run if it had not started, else whatever the upstream then says."""
+    entry = home.ledger.get(flow.id, message.request)
+    if entry is None:
+        home.tell(flow, messages.UnknownFlow(flow.id, message.request, "nothing to cancel"))
+    elif entry.state is ledger.State.RUNNING:
+        if not entry.cancelled:
+            entry.cancelled = True
+            home.emit(effects.CancelRequest(entry.key))
+        home.tell(flow, messages.Running(flow.id, entry.request))
+    elif entry.state in ledger.FINAL:
+        tell_outcome(home, flow, entry, now)
+    else:
+        home.slots.queue.pop(entry.key, None)
+        refuse(home, flow, entry.request, entry.deadline, "cancelled", now)
+
+
+def on_settle(home: state.State, flow: flows.Flow, message: messages.Settle, now: int) -> None:
+    """Say what became of a request in doubt; one that never came whole never will run."""
+    entry = home.ledger.get(flow.id, message.request)
+    if entry is None and fate(home, flow, message.deadline) is ledger.State.UNKNOWN:
+        tell_unknown(home, flow, message.request, "its record may have been dropped", now)
+    elif entry is None and message.deadline > now + home.limits.max_deadline:
+        tell_unknown(home, flow, message.request, "the deadline is too far away", now)
+    elif entry is None or entry.state is ledger.State.RECEIVING:
+        deadline = message.deadline if entry is None else entry.deadline
+        refuse(home, flow, message.request, deadline, "settled before it ran", now)
+    else:
+        tell_outcome(home, flow, entry, now)
+
+
+def expire(home: state.State, now: int) -> None:
+    """Refuse what can no longer start, cancel what has run out of time, drop old records."""
+    for key, deadline in list(home.slots.queue.items()):
+        if deadline <= now:
+            del home.slots.queue[key]
+            give_up(home, home.ledger.entries[key], "its deadline has passed", now)
+    for key in home.slots.running:
+        entry = home.ledger.entries[key]
+        if entry.deadline <= now and not entry.cancelled:
+            entry.cancelled = True
+            home.emit(effects.CancelRequest(key))
+    for entry in home.ledger.expire(now):
+        forget_parts(home, entry)
+
+
+@functools.singledispatch
+def on_message(message, home: state.State, flow: flows.Flow, now: int) -> None:
+    """Act on a caller's message about a request of a flow that lives here."""
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@on_message.register
+def _(message: messages.Request, home, flow, now):
+    on_request(home, flow, message, now)
+
+
+@on_message.register
+def _(message: messages.Fetch, home, flow, now):
+    on_fetch(home, flow, message, now)
+
+
+@on_message.register
+def _(message: messages.Cancel, home, flow, now):
+    on_cancel(home, flow, message, now)
+
+
+@on_message.register
+def _(message: messages.Settle, home, flow, now):
+    on_settle(home, flow, message, now)
--- /dev/null
+++ b/src/ebonystile/core/sidecar.py
@@ -0,0 +1,275 @@
+"""Decide everything that a sidecar decides: `decide(home, event, now)` returns the effects.
+
+No clock, socket, thread or global randomness is used here: the shell, the tests and any bench
+drive the same core.
+"""
+
+import functools
+
+from ebonystile import errors
+from ebonystile.caller import messages as caller_messages
+from ebonystile.core import (
+    effects,
+    events,
+    feeds,
+    flows,
+    handover,
+    ledger,
+    opening,
+    requests,
+    state,
+    view,
+)
+from ebonystile.peer import messages
+
+LEASE_CHECK_MS = 1_000
+"""How often leases are looked through, in ms: each look visits every flow."""
+
+
+def make_sidecar(
+    name: str,
+    incarnation: int,
+    limits: state.Limits,
+    randomness: state.Randomness,
+    now: int,
+) -> state.State:
+    """Return the state of a sidecar that has just started."""
+    return state.State(name, incarnation, limits, randomness, now)
+
+
+def decide(home: state.State, event, now: int) -> list[effects.Effect]:
+    """Take in one event at time `now` (ms) and return what is to be done, in order."""
+    notice_pause(home, now)
+    on_event(event, home, now)
+    return home.take_effects()
+
+
+def notice_pause(home: state.State, now: int) -> None:
+    """Hold new work after a pause until a view has been confirmed.
+
+    A process that was stopped and woken acts on an old view: its upstream may serve another
+    service by now, and a request would reach the wrong one. Ticks come every few ms in a running
+    process, so a long gap between events means a pause; `ViewChanged` ends it.
+    """
+    if now - home.last_tick > home.limits.pause_bound and home.caught_up:
+        home.caught_up = False
+        home.trace("woke", gap=now - home.last_tick)
+    home.last_tick = max(home.last_tick, now)
+
+
+@functools.singledispatch
+def on_event(event, home: state.State, now: int) -> None:
+    """Act on one event."""
+    raise TypeError(f"no rule for {type(event).__name__}")
+
+
+@on_event.register
+def _(event: events.Arrived, home, now):
+    try:
+        message = caller_messages.FROM_CALLER.decode(event.forward.payload)
+    except errors.DatagramError as error:
+        home.trace("dropped", reason=error.reason)
+        return
+    if isinstance(message, caller_messages.Open):
+        opening.on_open(home, event.forward, message, now)
+        return
+    route(home, event.forward, message, now)
+
+
+@on_event.register
+def _(event: events.Finished, home, now):
+    requests.finish(home, event, now)
+
+
+@on_event.register
+def _(event: events.Failed, home, now):
+    requests.fail(home, event, now)
+
+
+@on_event.register
+def _(event: events.FeedBatch, home, now):
+    feeds.on_batch(home, event, now)
+
+
+@on_event.register
+def _(event: events.FeedFailed, home, now):
+    feeds.on_failed(home, event, now)
+
+
+@on_event.register
+def _(event: events.TransferArrived, home, now):
+    handover.on_arrived(home, event, now)
+    feeds.poll(home, now)
+
+
+@on_event.register
+def _(event: events.TransferAnswered, home, now):
+    handover.on_answered(home, event, now)
+
+
+@on_event.register
+def _(event: events.TransferFailed, home, now):
+    handover.on_failed(home, event, now)
+
+
+@on_event.register
+def _(event: events.ViewChanged, home, now):
+    if event.view.revision < home.view.revision:
+        return
+    before = home.serves
+    home.view = event.view
+    home.serves = event.view.services_of(home.name)
+    home.caught_up = True
+    lost = set(before - home.serves)
+    if lost:
+        reason = "the upstream no longer serves the service"
+        requests.give_up_queued(home, lost, reason, now)
+        home.trace("services_lost", services=",".join(sorted(lost)))
+    home.moving = True
+    own = event.view.endpoints.get(home.key)
+    if own is not None:
+        follow_leaving(home, own.leaving, now)
+    handover.advance(home, now)
+
+
+@on_event.register
+def _(event: events.Leave, home, now):
+    leave(home, event.reason, now)
+    home.leaving_by_view = False
+    handover.advance(home, now)
+
+
+@on_event.register
+def _(event: events.Tick, home, now):
+    requests.expire(home, now)
+    requests.start_waiting(home, now)
+    expire_flows(home, now)
+    handover.expire(home, now)
+    handover.advance(home, now)
+    feeds.resend(home, now)
+    feeds.poll(home, now)
+
+
+def leave(home: state.State, reason: str, now: int) -> None:
+    """Take no new work from now on; what runs goes on, what waits is refused at once."""
+    if home.leaving:
+        return
+    home.leaving = f"the upstream is leaving: {reason}"
+    home.moving = True
+    home.trace("leaving", reason=reason)
+    requests.give_up_queued(home, None, home.leaving, now)
+
+
+def follow_leaving(home: state.State, leaving: bool, now: int) -> None:
+    """Leave or stay as the view says; what the process decided for itself goes before it."""
+    if leaving and not home.leaving:
+        leave(home, "the configuration or the list says so", now)
+        home.leaving_by_view = True
+    elif not leaving and home.leaving_by_view:
+        home.leaving = ""
+        home.leaving_by_view = False
+        home.trace("staying")
+
+
+def drained(home: state.State) -> bool:
+    """Whether a leaving sidecar has nothing left to finish or to hand over."""
+    if not home.leaving or home.slots.running:
+        return False
+    return all(flow.moved_to is not None for flow in home.flows.values())
+
+
+def route(
+    home: state.State, forward: messages.Forward, message: caller_messages.FromCaller, now: int
+) -> None:
+    """Act on a message if its flow lives here; else send it towards the flow's home.
+
+    The service, the flow and the home's incarnation must all match. An address that was reused by
+    another upstream, or a balancer with an old view, would otherwise bring one service's request
+    to another's upstream; here it finds no match and is passed on.
+    """
+    flow = home.flows.get(message.flow)
+    token = view.unpack_token(message.token)
+    if not matches(flow, token, message.service):
+        pass_on(home, forward, message)
+    elif flow.moved_to is not None:
+        if flow.moved_to.key not in forward.visited:
+            home.forward_to(flow.moved_to, forward)
+    elif flow.handover is not None:
+        # Fenced: the target may be the home already. The caller's next copy finds out.
+        home.trace("held", flow.id, reason="handover under way")
+    else:
+        flow.caller = forward.caller
+        flow.via = forward.via
+        flow.lease_until = now + home.limits.flow_lease
+        on_message(message, home, flow, now)
+        if flow.token != message.token:
+            home.tell(flow, caller_messages.Moved(flow.id, flow.token, flow.lease_until))
+
+
+def matches(flow: flows.Flow | None, token: view.Token | None, service: str) -> bool:
+    """Whether the flow is the one that the token was given for."""
+    return (
+        flow is not None
+        and token is not None
+        and flow.service == service
+        and token.service == view.key_of(service)
+        and token.incarnation in flow.answers_for
+    )
+
+
+def pass_on(
+    home: state.State, forward: messages.Forward, message: caller_messages.FromCaller
+) -> None:
+    """Send a message on to the next sidecar, or say that no one holds its flow."""
+    if home.pass_on(forward, message.flow, message.service):
+        return
+    request = getattr(message, "request", b"")
+    home.trace("unknown_flow", message.flow, request)
+    unknown = caller_messages.UnknownFlow(message.flow, request, "no upstream holds the flow")
+    home.reply(forward.caller, forward.via, unknown)
+
+
+@functools.singledispatch
+def on_message(message, home: state.State, flow: flows.Flow, now: int) -> None:
+    """Act on a message of a flow that lives here; most concern a request."""
+    requests.on_message(message, home, flow, now)
+
+
+@on_message.register
+def _(message: caller_messages.Subscribe, home, flow, now):
+    feeds.on_subscribe(home, flow, message, now)
+
+
+@on_message.register
+def _(message: caller_messages.Acknowledge, home, flow, now):
+    feeds.on_acknowledge(home, flow, message, now)
+
+
+@on_message.register
+def _(message: caller_messages.Heartbeat, home, flow, now):
+    home.tell(flow, caller_messages.Moved(flow.id, flow.token, flow.lease_until))
+
+
+@on_message.register
+def _(message: caller_messages.Close, home, flow, now):
+    flow.feeds.clear()
+    for entry in home.ledger.of_flow(flow.id):
+        if home.slots.queue.pop(entry.key, None) is not None:
+            requests.give_up(home, entry, "the flow was closed", now)
+    del home.flows[flow.id]
+    home.trace("closed", flow.id)
+    home.tell(flow, caller_messages.Closed(flow.id))
+
+
+def expire_flows(home: state.State, now: int) -> None:
+    """Forget flows whose lease has ended and for which nothing runs."""
+    if now - home.leases_checked_at < LEASE_CHECK_MS:
+        return
+    home.leases_checked_at = now
+    for flow in list(home.flows.values()):
+        if flow.lease_until > now or flow.handover is not None:
+            continue
+        records = home.ledger.of_flow(flow.id)
+        if not any(entry.state in ledger.PENDING for entry in records):
+            del home.flows[flow.id]
+            home.trace("lease_expired", flow.id)
--- /dev/null
+++ b/src/ebonystile/core/state.py
@@ -0,0 +1,177 @@
+"""Hold the state of a sidecar's core, and the few steps that all its parts share.
+
+The parts (`opening`, `requests`, `feeds`, `handover`) change this state and append effects to it;
+`sidecar.decide` is the only entrance from outside.
+"""
+
+import dataclasses
+import typing
+
+from ebonystile.caller import messages as caller_messages
+from ebonystile.core import effects, flows, ledger, ranking, slots, view
+from ebonystile.peer import messages
+
+
+class Randomness(typing.Protocol):
+    """The part of `random.Random` that the cores use; the shell or a test passes it in."""
+
+    def randbytes(self, n: int) -> bytes:
+        """Return `n` random bytes."""
+
+    def random(self) -> float:
+        """Return a number from 0 up to 1."""
+
+    def randrange(self, stop: int) -> int:
+        """Return a whole number from 0 up to `stop`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """The bounds of one sidecar. Times are in ms, sizes in bytes."""
+
+    slots: int = 2
+    queue: int = 64
+    flows: int = 2_000
+    ledger: int = 50_000
+    upload_bytes: int = 64 << 20
+    answer_bytes: int = 19 << 20
+    flow_lease: int = 300_000
+    ledger_margin: int = 5_000
+    max_deadline: int = 600_000
+    feed_window: int = 32
+    feed_resend: int = 300
+    feed_poll: int = 1_000
+    handover_retry: int = 250
+    handover_deadline: int = 20_000
+    pause_bound: int = 3_000
+
+
+@dataclasses.dataclass(slots=True)
+class Source:
+    """One feed of the upstream, polled once for all its subscribers; `events` is bounded."""
+
+    path: str
+    service: str
+    events: dict[int, bytes] = dataclasses.field(default_factory=dict)
+    newest: int = 0
+    polling: bool = False
+    poll_at: int = 0
+
+
+SOURCE_EVENTS = 1024
+"""Events of a feed kept for subscribers that fall behind; older ones are asked for again."""
+
+
+class State:
+    """Everything one sidecar knows; made anew, with a new incarnation, at every start."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        limits: Limits,
+        randomness: Randomness,
+        now: int,
+    ):
+        self.name = name
+        self.key = view.key_of(name)
+        self.incarnation = incarnation
+        self.limits = limits
+        self.randomness = randomness
+        self.view = view.EMPTY
+        self.serves: frozenset[str] = frozenset()
+        self.flows: dict[bytes, flows.Flow] = {}
+        self.ledger = ledger.Ledger(limits.ledger, limits.ledger_margin)
+        self.slots = slots.make_slots(limits.slots, limits.queue)
+        self.sources: dict[str, Source] = {}
+        self.upload_bytes = 0
+        self.leaving = ""
+        self.leaving_by_view = False
+        self.moving = False
+        self.fed: set[bytes] = set()
+        self.leases_checked_at = now
+        self.caught_up = True
+        self.last_tick = now
+        self.accepted_transfers: dict[bytes, int] = {}
+        self.refused_transfers: dict[bytes, int] = {}
+        self.handovers_done = 0
+        self.next_balancer = 0
+        self.effects: list[effects.Effect] = []
+
+    def take_effects(self) -> list[effects.Effect]:
+        """Return the effects gathered so far and start anew."""
+        gathered = self.effects
+        self.effects = []
+        return gathered
+
+    def emit(self, effect: effects.Effect) -> None:
+        """Add an effect."""
+        self.effects.append(effect)
+
+    def trace(self, event: str, flow: bytes = b"", request: bytes = b"", **fields) -> None:
+        """Record an event for logs and the time line."""
+        self.emit(effects.Trace(event, flow, request, tuple(fields.items())))
+
+    def reply(
+        self, caller: view.Address, via: view.Address, message: caller_messages.ToCaller
+    ) -> None:
+        """Answer a caller by way of `via`, or of another balancer if that one has gone.
+
+        A balancer that was replaced after it forwarded the request can relay nothing any more;
+        the caller would wait in vain. Any balancer can relay any answer, so the next one does.
+        """
+        balancers = self.view.balancers
+        if balancers and via not in balancers:
+            via = self.another_balancer(via)
+        self.emit(effects.ToCaller(via, caller, caller_messages.TO_CALLER.encode(message)))
+
+    def another_balancer(self, other_than: view.Address) -> view.Address:
+        """Return the next balancer in turn, if there is one, that is not `other_than`."""
+        choices = [b for b in self.view.balancers if b != other_than]
+        if not choices:
+            return other_than
+        self.next_balancer += 1
+        return choices[self.next_balancer % len(choices)]
+
+    def tell(self, flow: flows.Flow, message: caller_messages.ToCaller) -> None:
+        """Answer the caller of a flow where it was last heard from."""
+        self.reply(flow.caller, flow.via, message)
+
+    def token_for(self, service: str) -> bytes:
+        """Return the token that names this home."""
+        return view.Token(self.key, self.incarnation, view.key_of(service)).pack()
+
+    def siblings(self, service: str) -> list[view.Endpoint]:
+        """Return the other upstreams of the service that take new work."""
+        known = self.view.services.get(service)
+        if known is None:
+            return []
+        return [u for u in known.accepting if u.key != self.key]
+
+    def serving(self, service: str) -> bool:
+        """Whether new work for the service may start here now."""
+        return not self.leaving and self.caught_up and service in self.serves
+
+    def pass_on(self, forward: messages.Forward, flow: bytes, service: str) -> bool:
+        """Send the datagram to the next sidecar of the flow's ranking; False if all were asked.
+
+        Upstreams that take new work come first, since a handover puts a flow on one of them;
+        leaving ones may still hold it.
+        """
+        known = self.view.services.get(service)
+        if known is None:
+            return False
+        visited = (*forward.visited, self.key)
+        ranked = ranking.rank(flow, (u for u in known.upstreams if u.key not in visited))
+        ranked.sort(key=lambda u: u.leaving)
+        if not ranked:
+            return False
+        self.forward_to(ranked[0], forward)
+        return True
+
+    def forward_to(self, target: view.Endpoint, forward: messages.Forward) -> None:
+        """Pass a datagram on to one sidecar, noting that this one has seen it."""
+        passed = messages.Forward(
+            forward.caller, forward.via, (*forward.visited, self.key), forward.payload
+        )
+        self.emit(effects.ToSidecar(target.address, passed))
--- a/src/ebonystile/core/view.py
+++ b/src/ebonystile/core/view.py
@@ -24,7 +24,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Token:
-    """The home of a flow: which upstream, which start of its sidecar, for which service."""
+    """The home of a flow: which upstream, which of its homes, for which service.
+
+    `incarnation` is drawn at random for each home that a sidecar gives a flow. A restarted sidecar,
+    or one that takes a flow of the same id again, is another home: a packet that was delayed for
+    long can never be taken for one of the new home, which knows nothing of what the old one ran.
+    """
 
     upstream: int
     incarnation: int
--- /dev/null
+++ b/src/ebonystile/peer/seal.py
@@ -0,0 +1,130 @@
+"""Seal and open the datagrams between the system's processes with a keyed MAC.
+
+A sealed datagram is `key id (1 byte) | MAC (16 bytes) | CBOR [incarnation, sequence, revision,
+body]`. The MAC is keyed BLAKE2b (RFC 7693). Two keys may be known at once, so that a key can be
+replaced without a moment at which processes refuse one another; the first one seals.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import hmac
+import typing
+
+import cbor2
+
+from ebonystile import errors
+
+MAC_BYTES = 16
+HEADER_BYTES = 1 + MAC_BYTES
+REPLAY_WINDOW = 4096
+"""How far behind the newest sequence number of a sender a datagram may arrive."""
+
+MAX_SENDERS = 4096
+"""Senders remembered at once; the least recently heard is forgotten first."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Key:
+    """A secret shared by the system's processes; `id` (0-255) names it on the wire."""
+
+    id: int
+    secret: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """What a sealed datagram says: who sent it, the revision in force there, and the body."""
+
+    incarnation: int
+    revision: int
+    body: list
+
+
+class ReplayWindow:
+    """Tell a sequence number seen before from a new one, as RFC 4303 section 3.4.3 does.
+
+    Without it a datagram recorded on the wire could be sent again later; every message is
+    idempotent, so the symptom would be wasted work and stale hints rather than a second run.
+    """
+
+    __slots__ = ("newest", "seen")
+
+    def __init__(self):
+        self.newest = -1
+        self.seen = 0
+
+    def accept(self, sequence: int) -> bool:
+        """Record the number and return whether it is new and not too old."""
+        if sequence > self.newest:
+            shift = min(sequence - self.newest, REPLAY_WINDOW)
+            self.seen = ((self.seen << shift) | 1) & ((1 << REPLAY_WINDOW) - 1)
+            self.newest = sequence
+            return True
+        behind = self.newest - sequence
+        if behind >= REPLAY_WINDOW or self.seen >> behind & 1:
+            return False
+        self.seen |= 1 << behind
+        return True
+
+
+class Seal:
+    """Seal what one process sends and open what it receives."""
+
+    def __init__(self, keys: typing.Sequence[Key], incarnation: int):
+        if not keys:
+            raise ValueError("a seal needs at least one key")
+        self.incarnation = incarnation
+        self.sequence = 0
+        self.revision = 0
+        self.key_id = bytes((keys[0].id,))
+        self.states = {
+            key.id: hashlib.blake2b(key=key.secret, digest_size=MAC_BYTES) for key in keys
+        }
+        self.own_state = self.states[keys[0].id]
+        self.windows: collections.OrderedDict[int, ReplayWindow] = collections.OrderedDict()
+
+    def seal(self, body: list) -> bytes:
+        """Return the sealed datagram for the CBOR items in `body`."""
+        self.sequence += 1
+        content = cbor2.dumps([self.incarnation, self.sequence, self.revision, body])
+        state = self.own_state.copy()
+        state.update(content)
+        return self.key_id + state.digest() + content
+
+    def open(self, data: bytes) -> Opened:
+        """Return what `data` says; raise `DatagramError` if it is forged, damaged or replayed."""
+        if len(data) <= HEADER_BYTES:
+            raise self.fault("too short")
+        known = self.states.get(data[0])
+        if known is None:
+            raise self.fault(f"key {data[0]} is not known here")
+        content = data[HEADER_BYTES:]
+        state = known.copy()
+        state.update(content)
+        if not hmac.compare_digest(state.digest(), data[1:HEADER_BYTES]):
+            raise self.fault("the MAC does not match")
+        try:
+            incarnation, sequence, revision, body = cbor2.loads(content)
+        except Exception as error:
+            raise self.fault(f"not an envelope: {error}") from error
+        if not (type(incarnation) is type(sequence) is type(revision) is int):
+            raise self.fault("not an envelope")
+        if not self.window_of(incarnation).accept(sequence):
+            raise self.fault("replayed")
+        return Opened(incarnation, revision, body)
+
+    def window_of(self, incarnation: int) -> ReplayWindow:
+        """Return the sender's replay window, forgetting the stalest sender beyond the bound."""
+        window = self.windows.get(incarnation)
+        if window is None:
+            window = self.windows[incarnation] = ReplayWindow()
+            if len(self.windows) > MAX_SENDERS:
+                self.windows.popitem(last=False)
+        else:
+            self.windows.move_to_end(incarnation)
+        return window
+
+    def fault(self, reason: str) -> errors.DatagramError:
+        """Return the error for a datagram that does not open."""
+        return errors.DatagramError(reason, step="open datagram", peer="peer")
--- /dev/null
+++ b/src/ebonystile/peer/transfer.py
@@ -0,0 +1,50 @@
+"""The messages by which one sidecar hands a flow to another, over websockets in bulk."""
+
+import dataclasses
+import typing
+
+from ebonystile import codec
+
+Address = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transfer:
+    """Hand over a flow with its finished records and the positions of its feeds.
+
+    `incarnation` names the start of the target that may take it; 0 only asks which one runs. The
+    target refuses after `deadline`, so a copy held up on the way cannot be taken long afterwards.
+    Records are (request, state, service, deadline, idempotent, keep_until, answer, status, body,
+    reason, retry_at); feeds are (request, path, acknowledged position).
+    """
+
+    KIND: typing.ClassVar[int] = 128
+    id: bytes
+    incarnation: int
+    deadline: int
+    flow: bytes
+    service: str
+    answers_for: tuple[int, ...]
+    caller: Address
+    via: Address
+    forgotten_before: int
+    barred_before: int
+    records: tuple[
+        tuple[bytes, int, str, int, bool, int, bytes, int, bytes, str, int],
+        ...,
+    ]
+    feeds: tuple[tuple[bytes, str, int], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransferReply:
+    """Say which incarnation answers and whether it is now the flow's home; if not, why."""
+
+    KIND: typing.ClassVar[int] = 129
+    id: bytes
+    incarnation: int
+    accepted: bool
+    reason: str
+
+
+TRANSFERS = codec.Codec("sidecar", (Transfer, TransferReply))
