--- a/src/ebonystile/errors.py
+++ b/src/ebonystile/errors.py
@@ -36,11 +36,24 @@
 
 
 class UpstreamError(EbonystileError):
-    """Report that the upstream gave no usable answer; `ran` tells whether it may have run."""
+    """Report that the upstream gave no usable answer.
 
-    def __init__(self, reason: str, *, step: str, peer: str, may_have_run: bool = True):
+    `may_have_run` is False only where the request was surely not run; `retry_at` (ms) is when the
+    upstream wants to be asked again, where it said so.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        step: str,
+        peer: str,
+        may_have_run: bool = True,
+        retry_at: int | None = None,
+    ):
         super().__init__(reason, step=step, peer=peer)
         self.may_have_run = may_have_run
+        self.retry_at = retry_at
 
 
 class PeerError(EbonystileError):
--- /dev/null
+++ b/src/ebonystile/platform/client.py
@@ -0,0 +1,163 @@
+"""Read and watch docs/PLATFORM.md: the published values and the list of instances.
+
+The platform may be down, stale or answer as it was at an older revision. This client checks the
+shape of each answer and passes revisions on as they came; what to believe is decided elsewhere.
+"""
+
+import dataclasses
+import ipaddress
+import typing
+import urllib.parse
+
+import pydantic
+
+from ebonystile import errors, webclient
+from ebonystile.core import view
+
+MAX_ANSWER = 2 << 20
+"""Largest answer in bytes: a value is at most 1 MB, and a page of them about as much."""
+
+WAIT_MARGIN_MS = 2000
+"""Time beyond the end of a watch after which the answer is given up, in milliseconds."""
+
+CONNECTIONS = 2
+
+MAX_REVISION = (1 << 63) - 1
+
+Revision = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_REVISION)]
+
+Name = typing.Annotated[str, pydantic.Field(min_length=1, max_length=256)]
+
+
+def parse_address(text: str) -> view.Address:
+    """Return the address that `ip:port` stands for; raise ValueError for anything else."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) < 1 << 16):
+        raise ValueError("an address is ip:port")
+    return str(ipaddress.IPv4Address(host)), int(port)
+
+
+class Model(pydantic.BaseModel):
+    """Base of what is checked at this border; keys unknown to us are left alone."""
+
+    model_config = pydantic.ConfigDict(strict=True, frozen=True)
+
+
+class Value(Model):
+    """One published value, parsed but not yet understood; None says that the key is deleted."""
+
+    key: Name
+    revision: Revision
+    value: typing.Any
+
+
+class ValuesPage(Model):
+    """An answer to a watch of values."""
+
+    revision: Revision
+    values: tuple[Value, ...]
+    more: bool
+
+
+class Instance(Model):
+    """One instance of the platform's list; `address` is the pair of IPv4 address and port."""
+
+    name: Name
+    role: typing.Literal["balancer", "upstream"]
+    address: typing.Annotated[view.Address, pydantic.BeforeValidator(parse_address)]
+    zone: Name
+    state: typing.Literal["live", "leaving", "gone"]
+
+
+class InstancesPage(Model):
+    """An answer to a watch of instances."""
+
+    revision: Revision
+    instances: tuple[Instance, ...]
+    more: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Values:
+    """What changed after a revision, oldest first, complete up to `revision`.
+
+    `revision` may be lower than asked for, with no entries: the platform is behind.
+    """
+
+    revision: int
+    entries: tuple[Value, ...]
+    more: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instances:
+    """Which instances changed after a revision of the list, oldest first."""
+
+    revision: int
+    entries: tuple[Instance, ...]
+    more: bool
+
+
+Page = typing.TypeVar("Page", ValuesPage, InstancesPage)
+
+
+class Platform:
+    """The platform; every method blocks and may be called from several threads."""
+
+    def __init__(self, url: str, clock: webclient.Clock):
+        self.url = url
+        self.clock = clock
+        self.web = webclient.Client(url, CONNECTIONS, block=False, clock=clock)
+
+    def watch(self, after: int, wait_until: int) -> Values:
+        """Return the values that changed after a revision; wait for one until `wait_until`."""
+        step = "watch values"
+        page = self.page("/v1/watch", after, wait_until, ValuesPage, step)
+        revisions = [value.revision for value in page.values]
+        if revisions != sorted(set(revisions)):
+            raise self.error("values are not in the order of their revisions", step)
+        if revisions and not after < revisions[0] <= revisions[-1] <= page.revision:
+            raise self.error("values lie outside the revisions of the answer", step)
+        if page.more and page.revision <= after:
+            raise self.error("there is more, but nothing came", step)
+        return Values(page.revision, page.values, page.more)
+
+    def instances(self, after: int, wait_until: int) -> Instances:
+        """Return the instances that changed after a revision of the list."""
+        step = "watch instances"
+        page = self.page("/v1/instances", after, wait_until, InstancesPage, step)
+        if page.more and page.revision <= after:
+            raise self.error("there is more, but nothing came", step)
+        return Instances(page.revision, page.instances, page.more)
+
+    def page(self, path: str, after: int, wait_until: int, model: type[Page], step: str) -> Page:
+        """Make one call and check its answer."""
+        wait_ms = max(0, wait_until - self.clock())
+        query = urllib.parse.urlencode({"after": after, "wait_ms": wait_ms})
+        response = self.web.exchange(
+            "GET",
+            f"{path}?{query}",
+            deadline=self.clock() + wait_ms + WAIT_MARGIN_MS,
+            limit=MAX_ANSWER,
+            fail=lambda reason, _: self.error(reason, step),
+        )
+        if response.status != 200:
+            raise self.error(f"status {response.status}", step)
+        try:
+            return model.model_validate_json(response.body)
+        except pydantic.ValidationError as error:
+            fault = error.errors()[0]
+            raise self.error(f"{fault['loc']}: {fault['msg']}", step) from error
+
+    def error(self, reason: str, step: str) -> errors.PlatformError:
+        """Return the error for an answer that cannot be used."""
+        return errors.PlatformError(reason, step=step, peer=self.url)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.web.close()
+
+
+def make_platform(url: str, clock: webclient.Clock = webclient.wall_clock) -> Platform:
+    """Return a client for the platform at `url`."""
+    return Platform(url, clock)
--- /dev/null
+++ b/src/ebonystile/webclient.py
@@ -0,0 +1,118 @@
+"""Exchange HTTP/1.1 with outside systems: deadlines, bounded bodies, and never a second try."""
+
+import dataclasses
+import time
+import typing
+
+import urllib3
+
+from ebonystile import errors
+
+LEAST_SECONDS = 0.001
+"""Shortest timeout in seconds; a deadline that has passed is checked before anything is sent."""
+
+CHUNK = 1 << 16
+
+Clock = typing.Callable[[], int]
+
+ErrorMaker = typing.Callable[[str, bool], errors.EbonystileError]
+"""Make the peer's error from a reason and whether the request may have reached the peer."""
+
+
+def wall_clock() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return int(time.time() * 1000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """An HTTP response, read whole."""
+
+    status: int
+    headers: typing.Mapping[str, str]
+    body: bytes
+
+
+class Client:
+    """Speak with one HTTP server over a pool of kept connections.
+
+    With `block`, a call waits for one of the `connections`; else it opens another one.
+    """
+
+    def __init__(self, url: str, connections: int, *, block: bool, clock: Clock = wall_clock):
+        self.clock = clock
+        self.pool = urllib3.connectionpool.connection_from_url(
+            url, maxsize=connections, block=block, retries=False
+        )
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        *,
+        deadline: int,
+        limit: int,
+        fail: ErrorMaker,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Response:
+        """Send one request and read its answer of at most `limit` bytes before the deadline.
+
+        A kept connection that the server closes in this very moment fails too: nobody can tell
+        whether the server read the request, so it is reported as possibly sent, never repeated.
+        """
+        seconds = (deadline - self.clock()) / 1000
+        if seconds < LEAST_SECONDS:
+            raise fail("the deadline has passed", False)
+        try:
+            response = self.pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=headers,
+                retries=False,
+                redirect=False,
+                timeout=urllib3.Timeout(connect=seconds, read=seconds),
+                pool_timeout=seconds,
+                preload_content=False,
+                decode_content=False,
+            )
+        except (
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.EmptyPoolError,
+            urllib3.exceptions.LocationValueError,
+        ) as error:
+            raise fail(f"not sent: {error}", False) from error
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            raise fail(f"no answer: {error}", True) from error
+        return Response(
+            response.status, response.headers, self.read(response, deadline, limit, fail)
+        )
+
+    def read(
+        self, response: urllib3.BaseHTTPResponse, deadline: int, limit: int, fail: ErrorMaker
+    ) -> bytes:
+        """Read the whole body; a connection that is not read to its end is closed."""
+        parts = []
+        size = 0
+        try:
+            for part in response.stream(CHUNK):
+                parts.append(part)
+                size += len(part)
+                if size > limit:
+                    raise fail(f"answer larger than {limit} bytes", True)
+                if self.clock() > deadline:
+                    raise fail("answer not complete before the deadline", True)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            response.close()
+            raise fail(f"answer cut off: {error}", True) from error
+        except errors.EbonystileError:
+            response.close()
+            raise
+        response.release_conn()
+        return b"".join(parts)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.pool.close()
--- /dev/null
+++ b/standins/web.py
@@ -0,0 +1,207 @@
+"""Serve HTTP/1.1 on loopback for the stand-ins: keep-alive, bounded bodies, one route table."""
+
+import argparse
+import dataclasses
+import http.server
+import json
+import signal
+import socketserver
+import threading
+import time
+import typing
+import urllib.parse
+
+MAX_BODY = 32 << 20
+"""Largest request body in bytes; a photo of some MB fits several times over."""
+
+
+def now_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return int(time.time() * 1000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Query:
+    """One HTTP request, read whole. `path` has no leading slash; header names are lower case."""
+
+    method: str
+    path: str
+    parameters: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def number(self, name: str, default: int) -> int:
+        """Return a whole number of the query string; raise ValueError for anything else."""
+        return int(self.parameters.get(name, default))
+
+    def json(self) -> typing.Any:
+        """Return the body as parsed JSON; raise ValueError where it is none."""
+        return json.loads(self.body)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """One HTTP answer. With `cut` the connection is closed with nothing said."""
+
+    status: int = 200
+    body: bytes = b""
+    kind: str = "application/json"
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    cut: bool = False
+
+
+def json_answer(value: typing.Any, status: int = 200, **headers: str) -> Answer:
+    """Return an answer that carries `value` as JSON."""
+    named = {name.replace("_", "-"): text for name, text in headers.items()}
+    return Answer(status, json.dumps(value).encode(), headers=named)
+
+
+class App(typing.Protocol):
+    """What a stand-in gives the server: one method that answers every query."""
+
+    def answer(self, query: Query) -> Answer:
+        """Answer one query; called in a thread of its own, possibly for a long time."""
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Read one query after another from a connection and write the answers."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+    server: "Server"
+
+    def exchange(self) -> None:
+        """Read the query, have the app answer it, write the answer."""
+        try:
+            length = int(self.headers.get("Content-Length", "0"))
+        except ValueError:
+            length = -1
+        if not 0 <= length <= MAX_BODY or "Transfer-Encoding" in self.headers:
+            self.close_connection = True
+            headers = {"X-Not-Run": "1"}
+            self.write(Answer(413, b'{"error": "body length"}', headers=headers))
+            return
+        body = self.rfile.read(length)
+        if len(body) < length:
+            self.close_connection = True
+            return
+        with self.server.exchanges:
+            self.write(self.answer(body))
+            self.wfile.flush()
+
+    def answer(self, body: bytes) -> Answer:
+        """Have the app answer; a malformed number or document is the asker's fault."""
+        path, _, text = self.path.partition("?")
+        parameters = dict(urllib.parse.parse_qsl(text))
+        headers = {name.lower(): value for name, value in self.headers.items()}
+        query = Query(
+            self.command, urllib.parse.unquote(path).strip("/"), parameters, headers, body
+        )
+        try:
+            return self.server.app.answer(query)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            return json_answer({"error": repr(error)}, 400, X_Not_Run="1")
+
+    def write(self, answer: Answer) -> None:
+        """Write the answer, or close the connection where it says so."""
+        if answer.cut:
+            self.close_connection = True
+            return
+        if self.server.stopping.is_set():
+            self.close_connection = True
+        self.send_response(answer.status)
+        self.send_header("Content-Type", answer.kind)
+        self.send_header("Content-Length", str(len(answer.body)))
+        for name, value in answer.headers.items():
+            self.send_header(name, value)
+        if self.close_connection:
+            self.send_header("Connection", "close")
+        self.end_headers()
+        self.wfile.write(answer.body)
+
+    do_GET = do_POST = do_DELETE = exchange  # noqa: N815 (names that http.server looks up)
+
+    def log_message(self, format: str, *args: typing.Any) -> None:
+        """Write no log line for each query."""
+
+
+class Exchanges:
+    """Count the exchanges under way, so that a stop can wait for the last answer."""
+
+    def __init__(self) -> None:
+        self.condition = threading.Condition()
+        self.count = 0
+
+    def __enter__(self) -> None:
+        with self.condition:
+            self.count += 1
+
+    def __exit__(self, *_: object) -> None:
+        with self.condition:
+            self.count -= 1
+            self.condition.notify_all()
+
+    def wait_none(self, seconds: float) -> bool:
+        """Wait until none is under way; tell whether that came about."""
+        with self.condition:
+            return self.condition.wait_for(lambda: self.count == 0, seconds)
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """Serve one app; `connections` counts the open connections."""
+
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, port: int, app: App):
+        self.app = app
+        self.exchanges = Exchanges()
+        self.stopping = threading.Event()
+        self.connections = 0
+        self.connections_lock = threading.Lock()
+        super().__init__(("127.0.0.1", port), Handler)
+
+    def server_bind(self) -> None:
+        """Bind without the name look-up that HTTPServer makes, which can take seconds."""
+        socketserver.TCPServer.server_bind(self)
+        self.server_name, self.server_port = self.server_address[:2]
+
+    def process_request_thread(self, request: typing.Any, client_address: typing.Any) -> None:
+        """Count the connection for as long as it is open."""
+        with self.connections_lock:
+            self.connections += 1
+        try:
+            super().process_request_thread(request, client_address)
+        finally:
+            with self.connections_lock:
+                self.connections -= 1
+
+    def handle_error(self, request: typing.Any, client_address: typing.Any) -> None:
+        """Stay silent: a peer that goes away in mid-exchange is nothing unusual."""
+
+
+def port_option(parser: argparse.ArgumentParser) -> None:
+    """Add the option that every stand-in has."""
+    parser.add_argument("--port", type=int, default=0, help="TCP port; 0 takes a free one")
+
+
+def serve(server: Server, on_stop: typing.Callable[[], None], patience_ms: int) -> bool:
+    """Serve until SIGTERM or SIGINT, then let what is under way finish.
+
+    Print `ready port=...` once connections are accepted. Return whether everything finished
+    within `patience_ms` of the signal.
+    """
+    signalled = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: signalled.set())
+    threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
+    print(f"ready port={server.server_port}", flush=True)
+    signalled.wait()
+    server.stopping.set()
+    on_stop()
+    finished = server.exchanges.wait_none(patience_ms / 1000)
+    server.shutdown()
+    finished = server.exchanges.wait_none(patience_ms / 1000) and finished
+    server.server_close()
+    return finished
