--- /dev/null
+++ b/src/ebonystile/daemon/server.py
@@ -0,0 +1,209 @@
+"""Serve the TCP side of a process: websockets for exchanges, plain HTTP for metrics and health.
+
+Each websocket message is one question, answered by one message. The server knows nothing of what
+the messages mean: a handler for each path does.
+"""
+
+import collections
+import http
+import socket
+import threading
+import time
+import typing
+from collections import abc
+
+from websockets import exceptions as websockets_exceptions
+from websockets import frames
+from websockets.sync import server as websockets_server
+
+from ebonystile import errors, logs
+from ebonystile.core import view
+from ebonystile.peer import bulk
+
+MAX_MESSAGE_BYTES = bulk.MAX_MESSAGE_BYTES
+"""Largest message taken; the platform's values are at most half of it."""
+
+HANDSHAKE_S = 3
+IDLE_S = 30
+CLOSE_S = 2
+"""Seconds that a peer may take to shake hands, to ask the next question and to say goodbye."""
+
+ACCEPT_POLL_S = 0.2
+ACCEPT_BACKOFF_S = 0.1
+BACKLOG = 128
+METRICS_PATH = "/metrics"
+HEALTH_PATH = "/healthz"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+Handler = abc.Callable[[bytes], bytes]
+
+
+class Listener(socket.socket):
+    """A listening socket whose `accept` fails only once the socket is closed.
+
+    The library's loop ends for good at the first error of `accept`. A burst of connections that
+    uses up the file descriptors (EMFILE), or a caller who hangs up early (ECONNABORTED), would
+    leave a process that runs but that nobody can ask anything; here both are waited out.
+    """
+
+    def accept(self):
+        """Return the next connection; raise `OSError` when this socket is closed."""
+        while True:
+            try:
+                connection, peer = super().accept()
+                bulk.bound_sending(connection)
+                return connection, peer
+            except TimeoutError:
+                continue
+            except OSError:
+                if self.fileno() < 0:
+                    raise
+                time.sleep(ACCEPT_BACKOFF_S)
+
+
+class Server:
+    """The running TCP side of a process; `counts` tells what was served and what refused."""
+
+    def __init__(
+        self,
+        handlers: abc.Mapping[str, Handler],
+        metrics_text: abc.Callable[[], bytes],
+        healthy: abc.Callable[[], bool],
+        connection_limit: int,
+    ):
+        self.handlers = dict(handlers)
+        self.metrics_text = metrics_text
+        self.healthy = healthy
+        self.free = threading.BoundedSemaphore(connection_limit)
+        self.lock = threading.Lock()
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def start(self, address: view.Address) -> None:
+        """Listen on `address` and serve from a thread of its own; raise `PeerError` if taken."""
+        listener = make_listener(address)
+        self.address: view.Address = listener.getsockname()
+        self.server = websockets_server.serve(
+            self.converse,
+            sock=listener,
+            process_request=self.respond,
+            open_timeout=HANDSHAKE_S,
+            close_timeout=CLOSE_S,
+            ping_interval=None,
+            max_size=MAX_MESSAGE_BYTES,
+            max_queue=2,
+        )
+        self.serve_connection = self.server.handler
+        self.server.handler = self.admit
+        self.thread = threading.Thread(target=self.server.serve_forever, name="tcp-server")
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Close every connection and wait for the threads; may be called twice."""
+        self.server.shutdown()
+        self.thread.join()
+
+    def count(self, name: str) -> None:
+        """Add one to a count; the connections' threads share them."""
+        with self.lock:
+            self.counts[name] += 1
+
+    def admit(self, connection: socket.socket, peer: view.Address) -> None:
+        """Serve an accepted connection, or close it at once where the limit is reached."""
+        if not self.free.acquire(blocking=False):
+            self.count("connections_refused")
+            connection.close()
+            with self.server.lock:
+                self.server.handler_threads.discard(threading.current_thread())
+            return
+        try:
+            self.serve_connection(connection, peer)
+        finally:
+            self.free.release()
+
+    def respond(self, connection: websockets_server.ServerConnection, request) -> typing.Any:
+        """Answer plain HTTP; return None for a websocket, which `converse` then serves."""
+        path = request.path.partition("?")[0]
+        if path == METRICS_PATH:
+            response = connection.respond(http.HTTPStatus.OK, self.metrics_text().decode())
+            del response.headers["Content-Type"]
+            response.headers["Content-Type"] = METRICS_TYPE
+            return response
+        if path == HEALTH_PATH:
+            if self.healthy():
+                return connection.respond(http.HTTPStatus.OK, "ok\n")
+            return connection.respond(http.HTTPStatus.SERVICE_UNAVAILABLE, "leaving\n")
+        if path not in self.handlers:
+            self.count("unknown_path")
+            return connection.respond(http.HTTPStatus.NOT_FOUND, "no such path\n")
+        return None
+
+    def converse(self, connection: websockets_server.ServerConnection) -> None:
+        """Answer one message after the other until the peer leaves, idles or sends nonsense."""
+        handler = self.handlers[connection.request.path.partition("?")[0]]
+        try:
+            while True:
+                question = connection.recv(timeout=IDLE_S)
+                answer = self.answer(handler, question)
+                if answer is None:
+                    connection.close(frames.CloseCode.POLICY_VIOLATION, "not understood")
+                    return
+                connection.send(answer)
+        except TimeoutError:
+            self.count("idle")
+        except websockets_exceptions.ConnectionClosedOK:
+            pass
+        except websockets_exceptions.ConnectionClosed:
+            self.count("connection_lost")
+
+    def answer(self, handler: Handler, question: bytes | str) -> bytes | None:
+        """Return the handler's answer, or None where the question can't be used."""
+        if isinstance(question, str):
+            self.count("bad_message")
+            return None
+        try:
+            answer = handler(question)
+        except errors.EbonystileError as error:
+            self.count("bad_message")
+            logs.event("exchange-refused", level="DEBUG", error=str(error))
+            return None
+        except Exception as error:
+            # A bug met in answering one peer must not end the exchange for all others.
+            self.count("handler_failed")
+            logs.failure("exchange-failed", error)
+            return None
+        self.count("answered")
+        return answer
+
+
+def make_listener(address: view.Address) -> Listener:
+    """Return a listening socket on `address`; raise `PeerError` where that can't be had."""
+    listener = Listener(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+    except OSError as error:
+        listener.close()
+        reason = error.strerror or str(error)
+        peer = f"{address[0]}:{address[1]}"
+        raise errors.PeerError(reason, step="listen on TCP", peer=peer) from error
+    listener.settimeout(ACCEPT_POLL_S)
+    return listener
+
+
+def serve(
+    address: view.Address,
+    handlers: abc.Mapping[str, Handler],
+    metrics_text: abc.Callable[[], bytes],
+    *,
+    healthy: abc.Callable[[], bool] = lambda: True,
+    connection_limit: int = 64,
+) -> Server:
+    """Return a running server; a handler takes one message and returns the answer.
+
+    A handler that raises an `EbonystileError` refuses the message: the connection is closed and
+    the refusal counted. `healthy` turns false when the process leaves: `/healthz` then says 503.
+    """
+    server = Server(handlers, metrics_text, healthy, connection_limit)
+    server.start(address)
+    return server
--- /dev/null
+++ b/src/ebonystile/settings.py
@@ -0,0 +1,222 @@
+"""What a process is told at its start: the settings of the balancer and of the sidecar.
+
+A file of JSON with comments, given by `--settings FILE`. Durations end in `_ms` and are in
+milliseconds; they are turned into deadlines the moment they are used. Everything that may change
+while a process runs (services, selectors, labels) comes from the platform instead.
+"""
+
+import ipaddress
+import pathlib
+import re
+import typing
+import urllib.parse
+
+import pydantic
+
+from ebonystile import errors, validation
+from ebonystile.core import view
+
+STEP = "read settings"
+SECRET_BYTES = 32
+NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+"""The form of names: as one label of a host name (RFC 1123), with dots allowed."""
+
+SECOND = 1_000
+MINUTE = 60 * SECOND
+
+
+def parse_address(value: typing.Any) -> view.Address:
+    """Return the address that `ip:port` stands for; raise `ValueError` for anything else."""
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not colon:
+        raise ValueError('give it as "ip:port"')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise ValueError(f'"{host}" is not an IPv4 number') from error
+    if not (port.isascii() and port.isdecimal() and 0 < int(port[:6]) < 65_536):
+        raise ValueError(f'"{port}" is not a port from 1 to 65535')
+    return host, int(port)
+
+
+def parse_url(value: typing.Any) -> str:
+    """Return the URL without a last slash; raise `ValueError` unless it is http://ip:port."""
+    if not isinstance(value, str) or not value.startswith("http://"):
+        raise ValueError('give it as "http://ip:port"')
+    parts = urllib.parse.urlsplit(value)
+    if parts.query or parts.fragment:
+        raise ValueError("a query or fragment has no place here")
+    parse_address(parts.netloc)
+    return value.rstrip("/")
+
+
+def parse_secret(value: typing.Any) -> bytes:
+    """Return the bytes of a secret in hex; the message never shows the secret."""
+    try:
+        secret = bytes.fromhex(value)
+    except (TypeError, ValueError):
+        secret = b""
+    if len(secret) != SECRET_BYTES:
+        raise ValueError(f"give {SECRET_BYTES} bytes as {2 * SECRET_BYTES} hexadecimal digits")
+    return secret
+
+
+def parse_name(value: typing.Any) -> str:
+    """Return the name if it has the form of one."""
+    if not isinstance(value, str) or not NAME.fullmatch(value):
+        raise ValueError("give a name of small letters, digits, dots and hyphens, at most 63")
+    return value
+
+
+Address = typing.Annotated[view.Address, pydantic.BeforeValidator(parse_address)]
+Url = typing.Annotated[str, pydantic.BeforeValidator(parse_url)]
+Secret = typing.Annotated[bytes, pydantic.BeforeValidator(parse_secret)]
+Name = typing.Annotated[str, pydantic.BeforeValidator(parse_name)]
+LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+def duration(default: int, description: str, *, least: int = 1, most: int = 60 * MINUTE):
+    """Return a field for a duration in milliseconds."""
+    return pydantic.Field(default, ge=least, le=most, description=description)
+
+
+def count(default: int, description: str, *, least: int = 1, most: int = 10_000_000):
+    """Return a field for a number of things."""
+    return pydantic.Field(default, ge=least, le=most, description=description)
+
+
+class Key(validation.StrictModel):
+    """A key that datagrams and exchanges between the system's processes are signed with."""
+
+    id: int = pydantic.Field(ge=0, le=255, description="Number that names the key on the wire.")
+    secret: Secret = pydantic.Field(
+        repr=False, description=f"{SECRET_BYTES} random bytes in hex, alike in every process."
+    )
+
+
+class ProcessSettings(validation.StrictModel):
+    """What every process of the system is told."""
+
+    name: Name = pydantic.Field(description="Name of this instance on the platform's list.")
+    zone: Name = pydantic.Field(description="Availability zone that this instance is in.")
+    address: Address = pydantic.Field(
+        description="Address towards the system's other processes: UDP for datagrams, and TCP "
+        "of the same number for bulk exchanges, operators and metrics."
+    )
+    platform: Url = pydantic.Field(description="URL of the platform's service.")
+    seeds: list[Address] = pydantic.Field(
+        default=[],
+        max_length=64,
+        description="Addresses of some other processes, asked for the configuration at the start "
+        "and whenever the platform doesn't answer.",
+    )
+    keys: list[Key] = pydantic.Field(
+        min_length=1,
+        max_length=4,
+        description="Keys accepted from other processes; the first one signs. Two at once allow "
+        "rotation: add the new one last everywhere, then put it first, then drop the old one.",
+    )
+    log_level: LogLevel = pydantic.Field("INFO", description="Least level of the lines logged.")
+    watch_ms: int = duration(
+        25 * SECOND, "How long one watch of the platform waits for a newer revision.", least=100
+    )
+    instances_poll_ms: int = duration(
+        2 * SECOND, "How often the platform's list of instances is read where it is read at all."
+    )
+    exchange_ms: int = duration(
+        5 * SECOND, "How often revisions are compared with a random peer, before jitter."
+    )
+    drain_ms: int = duration(
+        30 * SECOND,
+        "Longest time between SIGTERM and the end of the process; what is still running then is "
+        "reported and ended.",
+        least=0,
+        most=24 * 60 * MINUTE,
+    )
+    inbox_limit: int = count(8_192, "Datagrams that may wait for the core; more are dropped.")
+    tcp_connection_limit: int = count(64, "TCP connections held at once; more are refused.")
+    event_limit: int = count(20_000, "Events kept in memory for the time line; oldest go first.")
+
+    @pydantic.model_validator(mode="after")
+    def check_keys(self) -> typing.Self:
+        """Refuse two keys of one number: a receiver could not tell them apart."""
+        numbers = [key.id for key in self.keys]
+        if len(set(numbers)) < len(numbers):
+            raise ValueError("keys: two keys have the same id")
+        return self
+
+
+class BalancerSettings(ProcessSettings):
+    """The settings of `ebonystile-balancer`."""
+
+    listen: Address = pydantic.Field(description="UDP address that the fabric hands packets to.")
+    caller_cache_limit: int = count(
+        200_000, "Flows whose caller's address or last home is remembered; a soft cache."
+    )
+
+    @pydantic.model_validator(mode="after")
+    def check_addresses(self) -> typing.Self:
+        """Refuse one address for both sides: callers' datagrams carry no MAC."""
+        if self.listen == self.address:
+            raise ValueError("listen: must differ from address")
+        return self
+
+
+class SidecarSettings(ProcessSettings):
+    """The settings of `ebonystile-sidecar`."""
+
+    upstream: Url = pydantic.Field(description="URL of the upstream beside this process.")
+    slots: int = count(2, "Requests that the upstream runs at once.", most=10_000)
+    connection_limit: int = count(2_000, "Connections held to the upstream, feeds included.")
+    queue_limit: int = count(64, "Requests that may wait for a slot; more are refused.", least=0)
+    flow_limit: int = count(8_000, "Flows that may have their home here; more are passed on.")
+    ledger_limit: int = count(
+        50_000, "Requests remembered at once; when it is full, new requests are refused."
+    )
+    ledger_bytes_limit: int = count(
+        64 << 20, "Bytes of answers and uploads remembered at once.", most=16 << 30
+    )
+    flow_lease_ms: int = duration(
+        60 * SECOND, "How long a flow stays without a sign of its caller.", least=SECOND
+    )
+    ledger_margin_ms: int = duration(
+        10 * SECOND, "How long after its deadline a request and its answer are remembered."
+    )
+    skew_bound_ms: int = duration(
+        2 * SECOND, "Most by which the clocks of callers and instances are trusted to differ."
+    )
+    max_deadline_ms: int = duration(
+        10 * MINUTE, "Furthest deadline taken; bounds how long the ledger must remember."
+    )
+    health_poll_ms: int = duration(
+        SECOND, "How often the upstream's health and drain state are read."
+    )
+    load_poll_ms: int = duration(SECOND, "How often the upstream's load is read.")
+
+    @pydantic.model_validator(mode="after")
+    def check_margin(self) -> typing.Self:
+        """Refuse a margin below the skew: a caller whose clock is behind asks up to then."""
+        if self.ledger_margin_ms < self.skew_bound_ms:
+            raise ValueError("ledger_margin_ms: must not be less than skew_bound_ms")
+        return self
+
+
+Settings = typing.TypeVar("Settings", BalancerSettings, SidecarSettings)
+
+
+def read(model: type[Settings], path: str | pathlib.Path) -> Settings:
+    """Return the settings in the file as `model`; raise `SettingsError` with every fault."""
+    value = validation.read_json(path, step=STEP)
+    if not isinstance(value, dict):
+        raise errors.SettingsError(["must be an object"], step=STEP, peer=str(path))
+    return validation.validate(model, value, step=STEP, peer=str(path))
+
+
+def read_balancer(path: str | pathlib.Path) -> BalancerSettings:
+    """Return the settings of a balancer."""
+    return read(BalancerSettings, path)
+
+
+def read_sidecar(path: str | pathlib.Path) -> SidecarSettings:
+    """Return the settings of a sidecar."""
+    return read(SidecarSettings, path)
--- /dev/null
+++ b/src/ebonystile/validation.py
@@ -0,0 +1,114 @@
+"""Read JSON with comments into pydantic models, and tell every fault at once by its path."""
+
+import difflib
+import pathlib
+import types
+import typing
+
+import json5
+import pydantic
+
+from ebonystile import errors
+
+Model = typing.TypeVar("Model", bound=pydantic.BaseModel)
+
+MAX_FILE_BYTES = 1 << 20
+"""Largest file read; the platform's values are no larger either."""
+
+
+class StrictModel(pydantic.BaseModel):
+    """Base of every model at the border: no unknown keys, no silent conversions, no changes."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+def read_json(path: str | pathlib.Path, *, step: str) -> typing.Any:
+    """Return what the file holds; raise `SettingsError` if it can't be read or parsed."""
+    peer = str(path)
+    try:
+        with open(path, "rb") as file:
+            data = file.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        raise errors.SettingsError([error.strerror or str(error)], step=step, peer=peer) from error
+    if len(data) > MAX_FILE_BYTES:
+        fault = f"the file is larger than {MAX_FILE_BYTES} bytes"
+        raise errors.SettingsError([fault], step=step, peer=peer)
+    return parse_json(data, step=step, peer=peer)
+
+
+def parse_json(data: bytes, *, step: str, peer: str) -> typing.Any:
+    """Return the value that the JSON with comments in `data` stands for.
+
+    A key given twice is refused: whichever of the two was in force would surprise somebody.
+    """
+    try:
+        return json5.loads(data.decode(), allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        raise errors.SettingsError([f"not JSON: {error}"], step=step, peer=peer) from error
+
+
+def validate(model: type[Model], value: typing.Any, *, step: str, peer: str) -> Model:
+    """Return `value` as the model; raise `SettingsError` with all faults, each with its path."""
+    try:
+        return model.model_validate(value)
+    except pydantic.ValidationError as error:
+        faults = [describe(model, detail) for detail in error.errors(include_url=False)]
+        raise errors.SettingsError(faults, step=step, peer=peer) from error
+
+
+def describe(model: type[pydantic.BaseModel], detail: typing.Mapping[str, typing.Any]) -> str:
+    """Return one fault as `path: what is wrong`."""
+    location = detail["loc"]
+    where = path_of(location)
+    if detail["type"] == "extra_forbidden":
+        return f"{where}: unknown key{suggestion(model, location)}"
+    if detail["type"] == "missing":
+        return f"{where}: is required"
+    reason = detail["msg"].removeprefix("Value error, ")
+    return f"{where}: {reason}" if where else reason
+
+
+def path_of(location: tuple[str | int, ...]) -> str:
+    """Return a location such as `keys[0].secret`."""
+    path = ""
+    for step in location:
+        path += f"[{step}]" if isinstance(step, int) else f".{step}"
+    return path.removeprefix(".")
+
+
+def suggestion(model: type[pydantic.BaseModel], location: tuple[str | int, ...]) -> str:
+    """Return the nearest known key to the unknown one at `location`, as the end of a sentence."""
+    parent = model_at(model, location[:-1])
+    if parent is None:
+        return ""
+    nearest = difflib.get_close_matches(str(location[-1]), parent.model_fields, n=1, cutoff=0.0)
+    return f', the nearest known one is "{nearest[0]}"' if nearest else ""
+
+
+def model_at(annotation: typing.Any, location: tuple[str | int, ...]) -> typing.Any:
+    """Return the model that a location leads to, or None where the way isn't through models."""
+    annotation = unwrapped(annotation)
+    if not location:
+        return annotation if is_model(annotation) else None
+    step, rest = location[0], location[1:]
+    if is_model(annotation):
+        field = annotation.model_fields.get(str(step))
+        return model_at(field.annotation, rest) if field else None
+    arguments = typing.get_args(annotation)
+    return model_at(arguments[-1], rest) if arguments else None
+
+
+def unwrapped(annotation: typing.Any) -> typing.Any:
+    """Return an annotation without `Annotated` and without `| None`."""
+    origin = typing.get_origin(annotation)
+    if origin is typing.Annotated:
+        return unwrapped(typing.get_args(annotation)[0])
+    if origin in (typing.Union, types.UnionType):
+        choices = [a for a in typing.get_args(annotation) if a is not type(None)]
+        return unwrapped(choices[0])
+    return annotation
+
+
+def is_model(annotation: typing.Any) -> bool:
+    """Tell whether the annotation is a pydantic model."""
+    return isinstance(annotation, type) and issubclass(annotation, pydantic.BaseModel)
