Check documents whole and join configurations so that nothing reverts

Cause: processes read the platform at different times, through replicas of differing freshness, and hear of changes from one another in any order. Ruled out: one revision for all values (one late answer would revert keys that it does not name); dropping tombstones by age (a peer that slept would bring a deleted service back). Change: documents are checked by pydantic and accepted or refused whole; a store of entries by key joins by the highest revision; refusals are kept and spread; the view is assembled by what a change touches. Conclusion: tests/test_configuration.py joins three copies in every order, by hypothesis, and compares entries, refusals and the view.

--- /dev/null
+++ b/src/ebonystile/core/assembly.py
@@ -0,0 +1,281 @@
+"""Assemble the view from services, labels and instances, touching only what a change touches.
+
+At the target size a view has 16,000 endpoints; a change of one instance makes one new endpoint
+and one new tuple for each service it serves, and copies the dictionaries, which share the rest.
+"""
+
+import collections
+import dataclasses
+import sys
+import typing
+
+from ebonystile.core import view
+
+Pair = tuple[str, str]
+"""A label's key and value."""
+
+LABEL_LEAVING: Pair = ("leaving", "true")
+
+POOL_LIMIT = 65_536
+"""Most tuples that wait to be shared; beyond it the pool starts anew, which costs only memory."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Instance:
+    """An instance as the platform lists it, or as it described itself."""
+
+    name: str
+    role: str
+    address: view.Address
+    zone: str
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spec:
+    """A service as published; `selector` holds for each label key the values that match."""
+
+    address: str
+    selector: tuple[tuple[str, tuple[str, ...]], ...]
+
+    def pairs(self) -> typing.Iterator[Pair]:
+        """Return every label pair that the selector names."""
+        return ((key, value) for key, values in self.selector for value in values)
+
+    def matches(self, labels: tuple[Pair, ...]) -> bool:
+        """Tell whether labels have, for each key of the selector, one of its values."""
+        have = dict(labels)
+        return all(have.get(key) in values for key, values in self.selector)
+
+
+class Claims:
+    """What each name stands for, where two documents may claim the same name.
+
+    The document with the first key in order wins, whatever the order of arrival, so that all
+    processes agree; the others wait, which lets operators move a name without a gap.
+    """
+
+    def __init__(self) -> None:
+        self.values: dict[str, typing.Any] = {}
+        self.sources: dict[str, str] = {}
+        self.losers: dict[str, dict[str, typing.Any]] = {}
+        self.names: dict[str, tuple[str, ...]] = {}
+
+    def replace(self, source: str, values: dict[str, typing.Any]) -> list[str]:
+        """Put the document's values in the place of its former ones; return the names changed."""
+        changed = []
+        former = self.names.pop(source, ())
+        for name in {*former, *values}:
+            if self.claim(name, source, values.get(name)):
+                changed.append(name)
+        if values:
+            self.names[source] = tuple(values)
+        return sorted(changed)
+
+    def claim(self, name: str, source: str, value: typing.Any) -> bool:
+        """Set or, with None, withdraw one claim; tell whether the name's value changed."""
+        claims = self.losers.pop(name, {})
+        before = self.values.pop(name, None)
+        if before is not None:
+            claims[self.sources.pop(name)] = before
+        claims.pop(source, None)
+        if value is not None:
+            claims[source] = value
+        if not claims:
+            return before is not None
+        winner = min(claims)
+        self.values[name] = claims.pop(winner)
+        self.sources[name] = winner
+        if claims:
+            self.losers[name] = claims
+        return self.values[name] != before
+
+    def conflicts(self) -> list[str]:
+        """Return one line for each name that more than one document claims."""
+        return [
+            f"{name}: in {self.sources[name]} and {', '.join(sorted(claims))};"
+            f" {self.sources[name]} holds"
+            for name, claims in sorted(self.losers.items())
+        ]
+
+
+class Assembly:
+    """The parts of a view and the view made of them last."""
+
+    def __init__(self) -> None:
+        self.specs = Claims()
+        self.labels = Claims()
+        self.instances: dict[str, Instance] = {}
+        self.serving: dict[str, tuple[str, ...]] = {}
+        self.anchors: dict[Pair, tuple[str, ...]] = {}
+        self.uses: collections.Counter[Pair] = collections.Counter()
+        self.anchored: dict[str, tuple[Spec, tuple[Pair, ...]]] = {}
+        self.pool: dict[typing.Any, typing.Any] = {}
+        self.touched_services: set[str] = set()
+        self.touched_instances: set[str] = set()
+        self.view = view.EMPTY
+
+    def put_services(self, source: str, specs: dict[str, Spec]) -> None:
+        """Put a document of services in the place of its former content."""
+        for name in self.specs.replace(source, specs):
+            self.drop_anchor(name)
+            spec = self.specs.values.get(name)
+            if spec is not None:
+                self.add_anchor(name, spec)
+            self.touched_services.add(name)
+
+    def put_labels(self, source: str, labels: dict[str, dict[str, str]]) -> None:
+        """Put a document of labels in the place of its former content."""
+        packed = {sys.intern(name): self.pack(pairs) for name, pairs in labels.items()}
+        self.touched_instances.update(self.labels.replace(source, packed))
+
+    def put_instance(self, name: str, instance: Instance | None) -> None:
+        """Set what is known of an instance, or with None forget it."""
+        if self.instances.get(name) == instance:
+            return
+        if instance is None:
+            del self.instances[name]
+        else:
+            self.instances[name] = instance
+        self.touched_instances.add(name)
+
+    def pack(self, labels: dict[str, str]) -> tuple[Pair, ...]:
+        """Return labels as a sorted tuple, one object for all instances that have the same."""
+        pairs = tuple((sys.intern(k), sys.intern(v)) for k, v in sorted(labels.items()))
+        return self.share(pairs)
+
+    def share(self, item: tuple[typing.Any, ...]) -> tuple[typing.Any, ...]:
+        """Return an equal tuple that is in use already, if there is one, to save its memory."""
+        if len(self.pool) >= POOL_LIMIT:
+            self.pool.clear()
+        return self.pool.setdefault(item, item)
+
+    def add_anchor(self, name: str, spec: Spec) -> None:
+        """File the service under the key of its selector that the fewest services use."""
+        self.uses.update(spec.pairs())
+        _, key, values = min(
+            (max(self.uses[key, value] for value in values), key, values)
+            for key, values in spec.selector
+        )
+        pairs = tuple((key, value) for value in values)
+        self.anchored[name] = (spec, pairs)
+        for pair in pairs:
+            self.anchors[pair] = (*self.anchors.get(pair, ()), name)
+
+    def drop_anchor(self, name: str) -> None:
+        """Take the service out of the file, if it is there."""
+        if name not in self.anchored:
+            return
+        spec, pairs = self.anchored.pop(name)
+        for pair in spec.pairs():
+            self.uses[pair] -= 1
+            if not self.uses[pair]:
+                del self.uses[pair]
+        for pair in pairs:
+            rest = tuple(other for other in self.anchors[pair] if other != name)
+            if rest:
+                self.anchors[pair] = rest
+            else:
+                del self.anchors[pair]
+
+    def services_for(self, name: str) -> tuple[str, ...]:
+        """Return the sorted names of the services whose selectors match the instance."""
+        instance = self.instances.get(name)
+        if instance is None or instance.role != "upstream":
+            return ()
+        labels = self.labels.values.get(name, ())
+        candidates = {s for pair in labels for s in self.anchors.get(pair, ())}
+        names = tuple(sorted(s for s in candidates if self.specs.values[s].matches(labels)))
+        return self.share(names)
+
+    def endpoint_for(self, name: str) -> view.Endpoint | None:
+        """Return the instance's endpoint; the label or the platform may say that it leaves."""
+        instance = self.instances.get(name)
+        if instance is None or instance.role != "upstream":
+            return None
+        leaving = instance.leaving or LABEL_LEAVING in self.labels.values.get(name, ())
+        return view.make_endpoint(
+            instance.name, instance.address, sys.intern(instance.zone), leaving=leaving
+        )
+
+    def build(self, revision: int, instances_revision: int) -> view.View:
+        """Return the view with every change since the last call in it."""
+        if self.touched_services:
+            self.touch_members()
+        services = dict(self.view.services)
+        endpoints = dict(self.view.endpoints)
+        joined, left = self.refresh_endpoints(endpoints)
+        for name in self.touched_services | joined.keys() | left.keys():
+            self.refresh_service(services, name, joined.get(name, []), left.get(name, set()))
+        balancers = self.view.balancers
+        if any(self.may_be_balancer(name) for name in self.touched_instances):
+            balancers = self.balancers()
+        self.touched_services.clear()
+        self.touched_instances.clear()
+        self.view = view.View(revision, services, endpoints, balancers, instances_revision)
+        return self.view
+
+    def touch_members(self) -> None:
+        """Touch the instances whose services may differ now that selectors have changed."""
+        changed = self.touched_services & self.anchored.keys()
+        anchors = {pair for name in changed for pair in self.anchored[name][1]}
+        for name, labels in self.labels.values.items():
+            if not anchors.isdisjoint(labels):
+                self.touched_instances.add(name)
+        for service in self.touched_services & self.view.services.keys():
+            self.touched_instances.update(u.name for u in self.view.services[service].upstreams)
+
+    def refresh_endpoints(
+        self, endpoints: dict[int, view.Endpoint]
+    ) -> tuple[dict[str, list[view.Endpoint]], dict[str, set[int]]]:
+        """Renew the touched endpoints; return who joins and who leaves each service."""
+        joined: dict[str, list[view.Endpoint]] = collections.defaultdict(list)
+        left: dict[str, set[int]] = collections.defaultdict(set)
+        for name in self.touched_instances:
+            key = view.key_of(name)
+            endpoint = self.endpoint_for(name)
+            before = self.serving.pop(name, ())
+            after = self.services_for(name)
+            if after:
+                self.serving[name] = after
+            if endpoint is None:
+                endpoints.pop(key, None)
+            elif endpoints.get(key) != endpoint:
+                endpoints[key] = endpoint
+            elif before == after:
+                continue
+            for service in before:
+                left[service].add(key)
+            for service in after:
+                joined[service].append(endpoints[key])
+        return joined, left
+
+    def refresh_service(
+        self,
+        services: dict[str, view.Service],
+        name: str,
+        joined: list[view.Endpoint],
+        left: set[int],
+    ) -> None:
+        """Renew one service, its upstreams in the order of their names."""
+        spec = self.specs.values.get(name)
+        if spec is None:
+            services.pop(name, None)
+            return
+        former = services[name].upstreams if name in services else ()
+        stay = [u for u in former if u.key not in left]
+        upstreams = sorted([*stay, *joined], key=lambda u: u.name)
+        services[name] = view.make_service(name, spec.address, upstreams)
+
+    def may_be_balancer(self, name: str) -> bool:
+        """Tell whether the touched instance can change the list of balancers."""
+        instance = self.instances.get(name)
+        return instance is None or instance.role == "balancer"
+
+    def balancers(self) -> tuple[view.Address, ...]:
+        """Return the addresses of the balancers that stay."""
+        return tuple(
+            sorted(
+                i.address for i in self.instances.values() if i.role == "balancer" and not i.leaving
+            )
+        )
--- /dev/null
+++ b/src/ebonystile/core/configuration.py
@@ -0,0 +1,312 @@
+"""Keep the configuration in force: join what the platform and peers say, refuse what is wrong.
+
+Values and the list of instances come in any order, from watchers of differing freshness, again
+and again. Each key keeps its accepted value of the highest revision, so an older answer, from a
+stale replica or a peer that slept, changes nothing. A value that fails its check is refused whole:
+the older value stays in force and the refusal, with every fault, is kept for operators.
+"""
+
+import dataclasses
+import json
+import typing
+import zlib
+
+from ebonystile import errors
+from ebonystile.core import assembly, store, view
+from ebonystile.platform import documents
+
+MAX_REFUSALS = 256
+"""Refusals kept; beyond it the one of the lowest revision is dropped."""
+
+MAX_FAULTS = 8
+"""Faults of one document that are kept and spread; the check command shows them all."""
+
+LIVE, LEAVING, GONE = "live", "leaving", "gone"
+"""The states of an instance in the platform's list."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Refusal:
+    """A value that was refused: the platform's revision of it and its faults."""
+
+    revision: int
+    key: str
+    faults: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Digest:
+    """How far a configuration is complete; each part only ever rises."""
+
+    values: int = 0
+    instances: int = 0
+
+    def behind(self, other: "Digest") -> bool:
+        """Tell whether `other` has something that this one lacks."""
+        return other.values > self.values or other.instances > self.instances
+
+    def join(self, other: "Digest") -> "Digest":
+        """Return the higher of each part."""
+        return Digest(max(self.values, other.values), max(self.instances, other.instances))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a configuration has, so that another can answer with just the rest.
+
+    `lacking` names refused keys with the revision that is in force for them: the older value, in
+    force elsewhere, lies below the digest and would not be sent otherwise.
+    """
+
+    digest: Digest = Digest()
+    lacking: tuple[tuple[str, int], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Update:
+    """What one configuration sends another: entries of both stores, and refusals."""
+
+    values: store.Delta
+    instances: store.Delta
+    refusals: tuple[Refusal, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What an update changed: keys accepted or deleted, refusals, instances by name."""
+
+    keys: tuple[str, ...] = ()
+    refusals: tuple[Refusal, ...] = ()
+    instances: tuple[str, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.keys or self.refusals or self.instances)
+
+
+def pack_value(value: typing.Any) -> bytes | None:
+    """Return a JSON value in the form in which it is kept and spread; None is a deletion."""
+    if value is None:
+        return None
+    text = json.dumps(value, sort_keys=True, separators=(",", ":"))
+    return zlib.compress(text.encode(), 6)
+
+
+def unpack_value(packed: bytes) -> typing.Any:
+    """Return the JSON value; raise `SettingsError` if it is too large or no JSON."""
+    try:
+        reader = zlib.decompressobj()
+        text = reader.decompress(packed, documents.MAX_BYTES + 1)
+        if len(text) > documents.MAX_BYTES:
+            raise ValueError(f"more than {documents.MAX_BYTES} bytes")
+        if not reader.eof:
+            raise ValueError("cut short")
+        return json.loads(text)
+    except (ValueError, zlib.error, RecursionError) as error:
+        fault = f"document: {error}"
+        raise errors.SettingsError([fault], step="read document", peer="value") from error
+
+
+def parse_address(text: str) -> view.Address:
+    """Return the IPv4 address and port in `text`; raise ValueError if there is none."""
+    host, _, port = documents.check_address(text).rpartition(":")
+    return (host, int(port))
+
+
+def values_delta(
+    after: int, revision: int, values: typing.Iterable[tuple[str, int, typing.Any]]
+) -> store.Delta:
+    """Return the platform's answer to a read of values after `after`: key, revision, value."""
+    entries = tuple((key, store.Entry(rev, pack_value(value))) for key, rev, value in values)
+    return store.Delta(after, revision, 0, entries)
+
+
+def instances_delta(
+    after: int, revision: int, instances: typing.Iterable[tuple[assembly.Instance, bool]]
+) -> store.Delta:
+    """Return the platform's answer to a read of its list: each instance and whether it is gone.
+
+    The list has one revision for all. Each entry is true as of it, so it may bear it.
+    """
+    entries = tuple(
+        (instance.name, store.Entry(revision, None if gone else instance))
+        for instance, gone in instances
+    )
+    return store.Delta(after, revision, 0, entries)
+
+
+class Configuration:
+    """The accepted values, the refused ones, the list of instances, and the view of them."""
+
+    def __init__(self) -> None:
+        self.values = store.Store()
+        self.instances = store.Store()
+        self.refusals: dict[str, Refusal] = {}
+        self.said: dict[str, assembly.Instance] = {}
+        self.parts = assembly.Assembly()
+        self.stale = False
+
+    @property
+    def digest(self) -> Digest:
+        """How far this configuration is complete."""
+        return Digest(self.values.complete, self.instances.complete)
+
+    @property
+    def view(self) -> view.View:
+        """The view in force; built when something has changed since it was last asked for."""
+        if self.stale:
+            self.stale = False
+            self.parts.build(self.values.complete, self.instances.complete)
+        return self.parts.view
+
+    @property
+    def refused(self) -> list[Refusal]:
+        """The refusals that stand: an accepted value of a higher revision ends one."""
+        return sorted(self.refusals.values())
+
+    def wanted(self) -> Wanted:
+        """Return what to send with a pull."""
+        lacking = []
+        for key in sorted(self.refusals):
+            entry = self.values.entries.get(key)
+            lacking.append((key, entry.revision if entry else 0))
+        return Wanted(self.digest, tuple(lacking))
+
+    def update_for(self, wanted: Wanted) -> Update:
+        """Return everything that the asking process lacks."""
+        values = self.values.delta(wanted.digest.values)
+        named = {key for key, _ in values.entries}
+        extra = tuple(
+            (key, self.values.entries[key])
+            for key, revision in wanted.lacking
+            if key not in named
+            and key in self.values.entries
+            and self.values.entries[key].revision > revision
+        )
+        if extra:
+            values = dataclasses.replace(values, entries=values.entries + extra)
+        refusals = tuple(r for r in self.refused if r.revision > values.after)
+        return Update(values, self.instances.delta(wanted.digest.instances), refusals)
+
+    def apply(self, update: Update) -> Changes:
+        """Take in an update of a peer."""
+        keys, refusals = self.apply_values(update.values)
+        for refusal in update.refusals:
+            if self.refuse(refusal):
+                refusals.append(refusal)
+        names = self.apply_instances(update.instances)
+        return Changes(tuple(keys), tuple(refusals), tuple(names))
+
+    def apply_values(self, delta: store.Delta) -> tuple[list[str], list[Refusal]]:
+        """Accept each newer value whole or refuse it whole; return what changed."""
+        accepted = []
+        refusals = []
+        for key, entry in delta.entries:
+            if not self.values.wants(key, entry) and key not in self.refusals:
+                continue
+            faults = self.place(key, entry)
+            if not faults:
+                accepted.append((key, entry))
+            else:
+                refusal = Refusal(entry.revision, key, tuple(faults[:MAX_FAULTS]))
+                if self.refuse(refusal):
+                    refusals.append(refusal)
+        checked = dataclasses.replace(delta, entries=tuple(accepted))
+        return self.join_values(delta, checked), refusals
+
+    def place(self, key: str, entry: store.Entry) -> list[str]:
+        """Check an entry's value and, if it is the newest, put it into the parts of the view."""
+        if entry.value is None:
+            document = None
+        else:
+            try:
+                document = documents.parse(key, unpack_value(entry.value))
+            except errors.SettingsError as error:
+                return error.faults
+        if self.values.wants(key, entry) or self.restores(key, entry):
+            self.put_document(key, document)
+        return []
+
+    def restores(self, key: str, entry: store.Entry) -> bool:
+        """Tell whether an old value fills a key whose newer value was refused here."""
+        return key in self.refusals and key not in self.values.entries
+
+    def join_values(self, delta: store.Delta, checked: store.Delta) -> list[str]:
+        """Join the accepted entries; keys with a refusal are not deleted by their absence."""
+        deleted = self.values.deleted_by(delta, self.refusals)
+        for key in deleted:
+            del self.values.entries[key]
+            self.put_document(key, None)
+        changed = list(deleted)
+        for key, entry in checked.entries:
+            if self.restores(key, entry) or self.values.wants(key, entry):
+                self.values.entries[key] = entry
+                changed.append(key)
+                self.settle(key, entry.revision)
+        self.values.advance(checked)
+        self.stale = True
+        return changed
+
+    def put_document(self, key: str, document: typing.Any) -> None:
+        """Put a document, or its absence, into the parts of the view."""
+        self.stale = True
+        if key.startswith("services/"):
+            specs = document.services if document is not None else {}
+            self.parts.put_services(key, {n: make_spec(s) for n, s in specs.items()})
+        else:
+            self.parts.put_labels(key, document.instances if document is not None else {})
+
+    def refuse(self, refusal: Refusal) -> bool:
+        """Keep a refusal unless a newer value or refusal of the key is known."""
+        entry = self.values.entries.get(refusal.key)
+        if entry is not None and entry.revision >= refusal.revision:
+            return False
+        known = self.refusals.get(refusal.key)
+        if known is not None and known >= refusal:
+            return False
+        self.refusals[refusal.key] = refusal
+        if len(self.refusals) > MAX_REFUSALS:
+            del self.refusals[min(self.refusals.values()).key]
+        return True
+
+    def settle(self, key: str, revision: int) -> None:
+        """End the refusal of a key once a value at or above its revision is accepted."""
+        refusal = self.refusals.get(key)
+        if refusal is not None and refusal.revision <= revision:
+            del self.refusals[key]
+
+    def apply_instances(self, delta: store.Delta) -> list[str]:
+        """Take in a part of the platform's list; return the names that changed."""
+        before = self.instances.complete
+        names = self.instances.join(delta)
+        for name in names:
+            self.show_instance(name)
+        self.stale = self.stale or bool(names) or self.instances.complete != before
+        return names
+
+    def say(self, name: str, instance: assembly.Instance | None) -> None:
+        """Let what an instance says of itself go before the list; None ends that."""
+        if instance is None:
+            self.said.pop(name, None)
+        else:
+            self.said[name] = instance
+        self.show_instance(name)
+        self.stale = True
+
+    def show_instance(self, name: str) -> None:
+        """Put what is known of the instance into the parts of the view."""
+        entry = self.instances.entries.get(name)
+        listed = entry.value if entry is not None else None
+        self.parts.put_instance(name, self.said.get(name, listed))
+
+    def conflicts(self) -> list[str]:
+        """Return one line for each service or instance that two documents claim."""
+        return self.parts.specs.conflicts() + self.parts.labels.conflicts()
+
+
+def make_spec(spec: documents.ServiceSpec) -> assembly.Spec:
+    """Return a checked service in the compact form of the parts."""
+    selector = tuple(
+        (key, (value,) if isinstance(value, str) else tuple(sorted(set(value))))
+        for key, value in sorted(spec.selector.items())
+    )
+    return assembly.Spec(spec.address, selector)
--- a/src/ebonystile/core/view.py
+++ b/src/ebonystile/core/view.py
@@ -80,12 +80,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
-    """Services by name, endpoints by key, and the balancers, all at one revision."""
+    """Services by name, endpoints by key, and the balancers, all at one revision.
+
+    `revision` is the platform's of the documents, `instances_revision` that of its list of
+    instances; neither ever falls from one view to the next.
+    """
 
     revision: int
     services: dict[str, Service]
     endpoints: dict[int, Endpoint]
     balancers: tuple[Address, ...]
+    instances_revision: int = 0
 
     def services_of(self, name: str) -> frozenset[str]:
         """Return the names of the services that the upstream called `name` serves."""
--- /dev/null
+++ b/src/ebonystile/platform/documents.py
@@ -0,0 +1,143 @@
+"""Check the documents that the platform publishes: each is accepted whole or refused whole.
+
+A document is the JSON value of one key. `services/<shard>` names services, their addresses and
+their selectors; `labels/<shard>` gives the labels of instances. Checking is a pure function of
+key and value, so every process of one release comes to the same verdict without talking.
+"""
+
+import difflib
+import ipaddress
+import typing
+
+import pydantic
+
+from ebonystile import errors
+
+MAX_BYTES = 1 << 20
+"""Largest value that the platform holds, in bytes of JSON."""
+
+LEAVING = "leaving"
+"""The label that, with the value "true", takes an instance out of new work."""
+
+NAME = r"^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$"
+LABEL_KEY = r"^[A-Za-z0-9]([A-Za-z0-9._/-]{0,61}[A-Za-z0-9])?$"
+LABEL_VALUE = r"^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$|^$"
+
+Name = typing.Annotated[str, pydantic.StringConstraints(pattern=NAME)]
+LabelKey = typing.Annotated[str, pydantic.StringConstraints(pattern=LABEL_KEY)]
+LabelValue = typing.Annotated[str, pydantic.StringConstraints(pattern=LABEL_VALUE)]
+AnyOf = typing.Annotated[list[LabelValue], pydantic.Field(min_length=1, max_length=64)]
+
+
+def check_address(text: str) -> str:
+    """Return `text` if it is an IPv4 address and a port, as in "10.1.0.1:443"."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise ValueError(f'"{text}" is not an IPv4 address and a port') from error
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 1 << 16:
+        raise ValueError(f'"{text}" has no port from 1 to 65535')
+    return text
+
+
+AddressText = typing.Annotated[str, pydantic.AfterValidator(check_address)]
+
+
+class Document(pydantic.BaseModel):
+    """Base of all documents: strict types, unknown keys refused."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class ServiceSpec(Document):
+    """A service's address and its selector: every key must match, a list matches any of it."""
+
+    address: AddressText
+    selector: typing.Annotated[
+        dict[LabelKey, LabelValue | AnyOf], pydantic.Field(min_length=1, max_length=16)
+    ]
+
+
+class Services(Document):
+    """The document at `services/<shard>`."""
+
+    services: dict[Name, ServiceSpec]
+
+    @pydantic.model_validator(mode="after")
+    def check_addresses(self) -> typing.Self:
+        """Refuse two services behind one address: packets of one could reach the other."""
+        owners: dict[str, str] = {}
+        for name, spec in self.services.items():
+            owner = owners.setdefault(spec.address, name)
+            if owner != name:
+                raise ValueError(f'"{owner}" and "{name}" both have the address {spec.address}')
+        return self
+
+
+Labels = typing.Annotated[dict[LabelKey, LabelValue], pydantic.Field(max_length=64)]
+
+
+class InstanceLabels(Document):
+    """The document at `labels/<shard>`."""
+
+    instances: dict[Name, Labels]
+
+
+MODELS: dict[str, type[Document]] = {"services": Services, "labels": InstanceLabels}
+"""The model of each kind of key, the part before the slash."""
+
+
+def parse(key: str, value: typing.Any) -> Services | InstanceLabels:
+    """Return the checked document; raise `SettingsError` with every fault it has."""
+    kind, _, shard = key.partition("/")
+    model = MODELS.get(kind)
+    if model is None or not shard:
+        raise errors.SettingsError([key_fault(key, kind)], step="check document", peer=key)
+    try:
+        return model.model_validate(value)
+    except pydantic.ValidationError as error:
+        raise errors.SettingsError(
+            faults_of(error, model), step="check document", peer=key
+        ) from error
+
+
+def check(key: str, value: typing.Any) -> list[str]:
+    """Return every fault of the document, each with its path; none means it is accepted."""
+    try:
+        parse(key, value)
+    except errors.SettingsError as error:
+        return error.faults
+    return []
+
+
+def key_fault(key: str, kind: str) -> str:
+    """Return the fault of a key that names no kind of document."""
+    near = difflib.get_close_matches(kind, MODELS, n=1)
+    known = near[0] if near else " or ".join(MODELS)
+    return f'key "{key}": expected {known}/<shard>'
+
+
+def faults_of(error: pydantic.ValidationError, model: type[Document]) -> list[str]:
+    """Return one line for each fault, in the order of the document."""
+    lines = []
+    for fault in error.errors(include_url=False, include_context=False):
+        # The names that pydantic gives to keys and to the branches of a union help nobody.
+        skipped = ("[key]", "constrained-str")
+        path = ".".join(
+            str(step)
+            for step in fault["loc"]
+            if step not in skipped and not str(step).startswith("list[")
+        )
+        text = fault["msg"].removeprefix("Value error, ")
+        if fault["type"] == "extra_forbidden":
+            text = f"unknown key{nearest(str(fault['loc'][-1]), model)}"
+        lines.append(f"{path or 'document'}: {text}")
+    return list(dict.fromkeys(lines))
+
+
+def nearest(word: str, model: type[Document]) -> str:
+    """Return a hint at the known key most like `word`, or nothing."""
+    known = [*model.model_fields, *ServiceSpec.model_fields]
+    near = difflib.get_close_matches(word, known, n=1)
+    return f' (did you mean "{near[0]}"?)' if near else ""
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,200 @@
+"""Check that configurations join to the same state in any order and never revert."""
+
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ebonystile.core import assembly, configuration, store
+
+NAMES = ["a", "b", "c", "d"]
+
+
+def services(**selectors):
+    return {
+        "services": {
+            name: {"address": f"10.0.0.{i}:80", "selector": selector}
+            for i, (name, selector) in enumerate(selectors.items(), 1)
+        }
+    }
+
+
+def labels(**instances):
+    return {"instances": instances}
+
+
+def upstream(name, port=1, *, leaving=False, role="upstream"):
+    return assembly.Instance(name, role, ("127.0.0.1", port), "umea", leaving)
+
+
+def feed(conf, *values, after=None, complete=None):
+    """Give the platform's values (key, revision, value) and return what changed."""
+    after = conf.values.complete if after is None else after
+    complete = max((v[1] for v in values), default=after) if complete is None else complete
+    return conf.apply_values(configuration.values_delta(after, complete, values))
+
+
+def list_instances(conf, revision, *instances, gone=()):
+    rows = [(i, False) for i in instances] + [(upstream(n), True) for n in gone]
+    after = conf.instances.complete
+    return conf.apply_instances(configuration.instances_delta(after, revision, rows))
+
+
+def state(conf):
+    """Return what matters: entries in force, refusals, and the view."""
+    view = conf.view
+    return (
+        {k: e for k, e in conf.values.entries.items() if e.value is not None},
+        conf.refused,
+        {n: (s.address, [u.name for u in s.upstreams]) for n, s in view.services.items()},
+        {e.name: (e.address, e.leaving) for e in view.endpoints.values()},
+    )
+
+
+def members(conf, name):
+    return [u.name for u in conf.view.services[name].upstreams]
+
+
+def test_selectors_choose_upstreams_as_labels_change():
+    conf = configuration.Configuration()
+    feed(conf, ("services/1", 1, services(line={"app": "line", "tier": ["x", "y"]})))
+    feed(conf, ("labels/1", 2, labels(u1={"app": "line", "tier": "x"}, u2={"app": "line"})))
+    list_instances(conf, 1, upstream("u1", 1), upstream("u2", 2), upstream("u3", 3))
+    assert members(conf, "line") == ["u1"]
+    feed(conf, ("labels/2", 3, labels(u3={"app": "line", "tier": "y"})))
+    assert members(conf, "line") == ["u1", "u3"]
+    feed(conf, ("labels/2", 4, labels(u3={"app": "line", "tier": "y", "leaving": "true"})))
+    assert [u.leaving for u in conf.view.services["line"].upstreams] == [False, True]
+    feed(conf, ("services/1", 5, services(line={"app": "line"})))
+    assert members(conf, "line") == ["u1", "u2", "u3"]
+    list_instances(conf, 2, gone=["u1"])
+    assert members(conf, "line") == ["u2", "u3"]
+    feed(conf, ("services/1", 6, None))
+    assert conf.view.services == {}
+    assert conf.view.revision == 6
+
+
+def test_refused_value_leaves_the_older_in_force_until_it_is_mended():
+    conf = configuration.Configuration()
+    feed(conf, ("services/1", 1, services(line={"app": "line"})))
+    _, refusals = feed(conf, ("services/1", 2, services(line={})))
+    assert [(r.key, r.revision) for r in refusals] == [("services/1", 2)]
+    assert "line" in conf.view.services
+    assert conf.digest.values == 2
+    feed(conf, ("services/1", 3, services(photo={"app": "photo"})))
+    assert list(conf.view.services) == ["photo"]
+    assert conf.refused == []
+
+
+def test_newcomer_gets_the_older_value_of_a_refused_key():
+    """A process starts while a faulty value stands on the platform.
+
+    The platform gives it only the faulty one. Without the list of what it lacks it would show the
+    same revision as the others, never ask, and serve without the service that they still serve.
+    """
+    old = configuration.Configuration()
+    feed(old, ("services/1", 1, services(line={"app": "line"})))
+    feed(old, ("services/1", 2, services(line={})))
+    new = configuration.Configuration()
+    feed(new, ("services/1", 2, services(line={})))
+    assert new.view.services == {}
+    new.apply(old.update_for(new.wanted()))
+    assert state(new) == state(old)
+    assert "line" in new.view.services
+
+
+def test_name_in_two_documents_goes_to_the_first_key_in_any_order():
+    first = ("services/1", 1, services(line={"app": "one"}))
+    second = ("services/2", 2, services(line={"app": "two"}))
+    for order in ([first, second], [second, first]):
+        conf = configuration.Configuration()
+        for value in order:
+            feed(conf, value, after=0)
+        assert conf.parts.specs.values["line"].selector == (("app", ("one",)),)
+        assert conf.conflicts() == ["line: in services/1 and services/2; services/1 holds"]
+    feed(conf, ("services/1", 3, None))
+    assert conf.parts.specs.values["line"].selector == (("app", ("two",)),)
+
+
+def test_what_an_instance_says_goes_before_the_list():
+    conf = configuration.Configuration()
+    list_instances(conf, 1, upstream("u1"))
+    conf.say("u1", upstream("u1", leaving=True))
+    list_instances(conf, 2, upstream("u1"))
+    assert [e.leaving for e in conf.view.endpoints.values()] == [True]
+    conf.say("u1", None)
+    assert [e.leaving for e in conf.view.endpoints.values()] == [False]
+
+
+def test_balancers_that_leave_are_not_listed():
+    conf = configuration.Configuration()
+    list_instances(conf, 1, upstream("b1", 1, role="balancer"), upstream("b2", 2, role="balancer"))
+    assert conf.view.balancers == (("127.0.0.1", 1), ("127.0.0.1", 2))
+    list_instances(conf, 2, upstream("b1", 1, role="balancer", leaving=True))
+    assert conf.view.balancers == (("127.0.0.1", 2),)
+
+
+def test_one_change_shares_all_other_endpoints():
+    conf = configuration.Configuration()
+    feed(conf, ("services/1", 1, services(line={"app": "line"}, photo={"app": "photo"})))
+    list_instances(conf, 1, *(upstream(f"u{i}", i + 1) for i in range(50)))
+    before = conf.view
+    list_instances(conf, 2, upstream("u7", 99))
+    after = conf.view
+    changed = [k for k in after.endpoints if after.endpoints[k] is not before.endpoints.get(k)]
+    assert len(changed) == 1
+
+
+def test_dropped_tombstones_turn_a_delta_into_a_snapshot(monkeypatch):
+    monkeypatch.setattr(store, "MAX_TOMBSTONES", 2)
+    conf = configuration.Configuration()
+    behind = configuration.Configuration()
+    feed(conf, *((f"labels/{i}", i, labels(**{f"u{i}": {}})) for i in range(1, 7)))
+    behind.apply(conf.update_for(behind.wanted()))
+    feed(conf, *((f"labels/{i}", i + 10, None) for i in range(1, 6)))
+    assert len(conf.values.entries) == 3
+    update = conf.update_for(behind.wanted())
+    assert update.values.after == 0
+    stale = behind.update_for(configuration.Wanted())
+    behind.apply(update)
+    assert state(behind) == state(conf)
+    conf.apply(stale)
+    assert state(behind) == state(conf)
+
+
+VALUES = st.sampled_from(
+    [
+        None,
+        services(line={"app": "line"}),
+        services(line={"app": "photo"}, photo={"app": "photo"}),
+        services(line={}),
+    ]
+)
+HISTORY = st.lists(st.tuples(st.sampled_from(NAMES), VALUES), max_size=12)
+CUTS = st.lists(st.integers(0, 12), min_size=3, max_size=3)
+
+
+def read_at(history, cut):
+    """Return a configuration that read the platform once, when `cut` changes had been made."""
+    latest = {}
+    for revision, (name, value) in enumerate(history[:cut], 1):
+        latest[name] = (f"services/{name}", revision, value)
+    conf = configuration.Configuration()
+    feed(conf, *latest.values(), after=0, complete=min(cut, len(history)))
+    return conf
+
+
+@settings(max_examples=150, deadline=None)
+@given(HISTORY, CUTS)
+def test_joins_commute_repeat_and_never_revert(history, cuts):
+    """Three copies that read the platform at different times join in every order, twice."""
+    results = []
+    for order in itertools.permutations(range(3)):
+        copies = [read_at(history, cut) for cut in cuts]
+        for i, j in [(order[0], order[1]), (order[1], order[2]), (order[2], order[0])] * 2:
+            before = {k: e.revision for k, e in copies[i].values.entries.items()}
+            copies[i].apply(copies[j].update_for(copies[i].wanted()))
+            for key, revision in before.items():
+                assert copies[i].values.entries[key].revision >= revision
+        results.append([state(c) for c in copies])
+    assert all(copy == results[0][0] for result in results for copy in result)
