--- /dev/null
+++ b/tests/policy_helpers.py
@@ -0,0 +1,19 @@
+"""Loads and endpoints for the tests of placement, with only what a case is about spelled out."""
+
+from ebonystile.core import load, view
+
+
+def endpoints(count, zone="z"):
+    return [view.make_endpoint(f"u{i}", ("127.0.0.1", 1000 + i), zone) for i in range(count)]
+
+
+def load_of(name="me", at=0, **given):
+    values = {"incarnation": 1, "zone": "z", "slots": 2, "connections": 2000} | given
+    return load.Load(name=name, at=at, **values)
+
+
+def table_of(*loads, now=0):
+    table = load.LoadTable()
+    for each in loads:
+        table.report(each, now)
+    return table
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,126 @@
+"""Check where opens go: over clear gaps only, never to those that leave, are full or unknown."""
+
+import random
+
+import pytest
+
+from ebonystile.core import load, placement
+from tests import policy_helpers as given
+
+POLICIES = [
+    placement.KeepHome(),
+    placement.Anywhere(),
+    placement.BoundedLoads(),
+    placement.PowerOfTwo(),
+    placement.LeastOfAll(),
+    placement.Lexicographic(),
+]
+
+
+def choose(own, loads, *, policy=None, count=3, now=0, table=None, flow=b"f" * 16, zone="z"):
+    table = table or given.table_of(*loads)
+    chance = random.Random(7)
+    policy = policy or placement.PowerOfTwo()
+    return placement.choose(policy, flow, own, table, given.endpoints(count, zone), now, chance)
+
+
+@pytest.mark.parametrize(
+    ("own", "sibling", "passed"),
+    [
+        pytest.param({}, {}, False, id="equal"),
+        pytest.param({"running": 2}, {}, True, id="clear gap"),
+        pytest.param({"running": 1, "slots": 4}, {"slots": 4}, False, id="gap not clear"),
+        pytest.param({"running": 4, "slots": 4}, {"running": 2}, False, id="weights from slots"),
+        pytest.param({"flows": 100}, {"flows": 80}, True, id="fewer flows, work alike"),
+        pytest.param({"flows": 100}, {"flows": 95}, False, id="flows alike"),
+        pytest.param({"flows": 100}, {"flows": 80, "running": 1}, False, id="work before flows"),
+        pytest.param({"running": 2}, {"ramp": 250}, False, id="cold sibling"),
+        pytest.param({"running": 9}, {"leaving": True}, False, id="leaving sibling"),
+        pytest.param({"running": 9}, {"suspected": True}, True, id="panic: all are suspected"),
+        pytest.param({"running": 9}, {"connections": 5, "flows": 5}, False, id="full sibling"),
+        pytest.param({"leaving": True}, {"running": 9}, True, id="leaving, no gap needed"),
+        pytest.param({"connections": 5, "flows": 5}, {"running": 9}, True, id="full, no gap"),
+        pytest.param({"suspected": True}, {"running": 1}, True, id="own upstream suspected"),
+        pytest.param({"ramp": 250}, {}, False, id="cold and idle: one request to get warm"),
+        pytest.param({"ramp": 250, "running": 1}, {"running": 1}, True, id="cold and busy"),
+    ],
+)
+def test_power_of_two(own, sibling, passed):
+    loads = [given.load_of(f"u{i}", **sibling) for i in range(3)]
+    assert (choose(given.load_of(**own), loads) is not None) == passed
+
+
+def test_suspected_sibling_is_left_out_while_others_are_not():
+    loads = [given.load_of("u0", suspected=True), given.load_of("u1"), given.load_of("u2")]
+    chosen = {
+        choose(given.load_of(running=9), loads, policy=placement.Anywhere(), flow=bytes([i]) * 16)
+        for i in range(3)
+    }
+    assert "u0" not in chosen
+
+
+def test_leaving_without_any_report_passes_to_an_upstream_of_the_view():
+    """A sidecar starts and its upstream leaves before a sibling has reported.
+
+    Callers would be refused although capacity is there; the view's next upstream gets the open.
+    """
+    assert choose(given.load_of(leaving=True), []) in {"u0", "u1", "u2"}
+    loads = [given.load_of(f"u{i}", leaving=True) for i in range(3)]
+    assert choose(given.load_of(leaving=True), loads) is None
+
+
+def test_zone_decides_between_equals_only():
+    own = given.load_of(running=4)
+    near = given.load_of("u0", running=1)
+    far = given.load_of("u1", running=1, zone="far")
+    assert choose(own, [far, near], count=2) == "u0"
+    assert choose(own, [given.load_of("u0", running=2), far], count=2) == "u1"
+
+
+@pytest.mark.parametrize("policy", POLICIES, ids=lambda p: type(p).__name__)
+def test_every_policy_keeps_what_binds_all(policy):
+    own = given.load_of(running=6)
+    loads = [
+        given.load_of("u0", leaving=True),
+        given.load_of("u1", connections=1, flows=1),
+        given.load_of("u2", running=3),
+    ]
+    assert choose(own, loads, policy=policy) in {None, "u2"}
+    assert choose(given.load_of(leaving=True), loads, policy=policy) == "u2"
+    assert choose(own, [], policy=policy) is None
+
+
+def herd(count_sends):
+    """Return the most opens that the one idle of 7 gets from its siblings on one stale table."""
+    chance = random.Random(1)
+    service = given.endpoints(7)
+    loads = [given.load_of(e.name, running=0 if e.name == "u0" else 4) for e in service]
+    tables = {e.name: given.table_of(*loads) for e in service[1:]}
+    sent = 0
+    for i in range(200):
+        me = service[1 + i % 6].name
+        own = given.load_of(me, running=4)
+        others = [e for e in service if e.name != me]
+        flow = i.to_bytes(16, "big")
+        to = placement.choose(placement.PowerOfTwo(), flow, own, tables[me], others, 10, chance)
+        sent += to == "u0"
+        if to and count_sends:
+            tables[me].sent(to, 10)
+    return sent
+
+
+def test_stale_table_does_not_herd():
+    """One of seven upstreams is idle, all tables say so, and no further report comes.
+
+    Without own sends counted, each of 200 opens that sees the idle one among its candidates goes
+    there and waits in its queue. With them each sibling stops when its own sends have closed the
+    gap: at most 3 each (4 running + 1 against 0 + 1, two slots, a gap of half a request a slot).
+    """
+    assert herd(count_sends=False) > 40
+    assert 6 <= herd(count_sends=True) <= 6 * 4
+
+
+def test_unknown_policy_is_an_error():
+    scene = placement.Scene(b"", load.standing(given.load_of()), "z", [], [])
+    with pytest.raises(TypeError):
+        placement.decide(object(), scene, random.Random(1))
--- /dev/null
+++ b/tests/test_suspicion.py
@@ -0,0 +1,107 @@
+"""Check that those who fail are left alone, carefully tried, and never all at once."""
+
+from ebonystile.core import load, suspicion
+
+RULES = suspicion.Rules(hold=2000, probes=2, probe_timeout=1000, returns=2)
+
+
+def suspect(*names, now=0, tracker=None):
+    tracker = tracker or suspicion.Suspicion(RULES)
+    for name in names:
+        for _ in range(RULES.failures):
+            tracker.failed(name, now)
+    return tracker
+
+
+def test_three_failures_in_a_row_suspect_and_a_success_between_does_not():
+    tracker = suspicion.Suspicion(RULES)
+    for good in (False, False, True, False, False):
+        (tracker.succeeded if good else tracker.failed)("a", 0)
+    assert not tracker.suspected("a")
+    assert tracker.failed("a", 0)
+    assert tracker.suspected("a")
+
+
+def test_half_of_the_results_bad_suspect():
+    tracker = suspicion.Suspicion(RULES)
+    for i in range(20):
+        (tracker.succeeded if i % 2 else tracker.failed)("a", 0)
+    assert not tracker.suspected("a")
+    tracker.failed("a", 0)
+    assert tracker.suspected("a")
+
+
+def test_panic_threshold():
+    """Two of three upstreams are suspected: the last one cannot carry the load of all.
+
+    Leaving both out would bring the last one down. All three are used again.
+    """
+    tracker = suspect("a")
+    assert tracker.usable(["a", "b", "c"]) == ["b", "c"]
+    suspect("b", tracker=tracker)
+    assert tracker.usable(["a", "b", "c"]) == ["a", "b", "c"]
+
+
+def test_probes_are_bounded_and_come_after_the_hold():
+    tracker = suspect("a", "b", "c")
+    assert tracker.due_probes(1999) == []
+    assert tracker.due_probes(2000) == ["a", "b"]
+    assert tracker.due_probes(2500) == []
+    assert not tracker.probed("a", True, 2500)
+    assert len(tracker.due_probes(2500)) == 1
+
+
+def test_probe_without_answer_counts_as_failed():
+    tracker = suspect("a")
+    assert tracker.due_probes(2000) == ["a"]
+    assert tracker.due_probes(3000) == []
+    assert tracker.due_probes(5000) == ["a"]
+
+
+def returned(tracker, name, now):
+    for _ in range(RULES.returns):
+        assert tracker.due_probes(now) == [name]
+        tracker.probed(name, True, now)
+
+
+def test_two_good_probes_end_it_and_start_a_ramp():
+    tracker = suspect("a")
+    returned(tracker, "a", 2000)
+    assert not tracker.suspected("a")
+    assert tracker.ramp("a", 2000, 10_000) == 250
+    assert tracker.ramp("a", 12_000, 10_000) == load.FULL_RAMP
+    assert tracker.ramp("never", 0, 10_000) == load.FULL_RAMP
+
+
+def test_flapping_peer_is_left_alone_for_longer_each_time():
+    """An upstream comes back after each probe and fails again at once.
+
+    Each return would cost callers some failures. The time that it is left alone doubles.
+    """
+    tracker = suspicion.Suspicion(RULES)
+    now, holds = 0, []
+    for _ in range(4):
+        suspect("a", now=now, tracker=tracker)
+        until = tracker.peers["a"].suspected_until
+        holds.append(until - now)
+        now = until
+        returned(tracker, "a", now)
+    assert holds == [2000, 4000, 8000, 16_000]
+
+
+def test_calm_forgives():
+    tracker = suspect("a")
+    returned(tracker, "a", 2000)
+    tracker.succeeded("a", 100_000)
+    assert "a" in tracker.peers
+    tracker.succeeded("a", 2000 + 2 * RULES.calm + 1)
+    assert tracker.peers == {}
+
+
+def test_state_is_bounded():
+    tracker = suspicion.Suspicion(RULES)
+    for i in range(suspicion.MAX_PEERS + 10):
+        tracker.failed(f"p{i}", 0)
+    assert len(tracker.peers) == suspicion.MAX_PEERS
+    tracker.keep({"p1"})
+    assert list(tracker.peers) == ["p1"]
