--- /dev/null
+++ b/benches/fleet.py
@@ -0,0 +1,291 @@
+"""Join many control cores by a loop that delivers their effects under a fake clock.
+
+No cluster is simulated: there is one queue of events by time, a delay and a loss per message, and
+a platform that is a pair of dictionaries. Tests and the control bench share it.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import time
+import typing
+
+from ebonystile.core import assembly, configuration, spread, spread_state, store
+from ebonystile.peer import control
+
+TICK_MS = 200
+START = 1_700_000_000_000
+SEAL_BYTES = 17 + 1 + 9 + 5 + 9
+"""What the sealed envelope adds: key id, MAC, array, incarnation, sequence, revision."""
+
+
+class Log:
+    """The newest versions of a stream by key, under one rising revision."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.entries: dict[str, store.Entry] = {}
+
+    def put(self, key: str, value: typing.Any) -> None:
+        """Publish a value; None deletes the key."""
+        self.revision += 1
+        self.entries[key] = store.Entry(self.revision, value)
+
+    def delta(self, after: int, ceiling: int) -> store.Delta:
+        """Return what follows a revision, as the platform would show it."""
+        revision = min(self.revision, ceiling)
+        entries = [(k, e) for k, e in self.entries.items() if after < e.revision <= revision]
+        entries.sort(key=lambda item: item[1].revision)
+        return store.Delta(after, revision, 0, tuple(entries))
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One core, and what the loop knows of it: its group is its side of a partition."""
+
+    core: spread_state.Spread
+    group: int = 0
+    alive: bool = True
+    paused_until: int = 0
+    platform_up: bool = True
+    ceiling: int = 1 << 62
+    in_force_at: dict[int, int] = dataclasses.field(default_factory=dict)
+    may_act: bool = False
+    acts: list[tuple[int, bool, int]] = dataclasses.field(default_factory=list)
+    traces: list[typing.Any] = dataclasses.field(default_factory=list)
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    busy_ns: int = 0
+
+
+class Fleet:
+    """Nodes, a platform, a clock in ms and a queue of what happens when."""
+
+    def __init__(
+        self,
+        seed: int = 1,
+        *,
+        limits: spread_state.Limits | None = None,
+        loss: float = 0.0,
+        delay: tuple[int, int] = (1, 5),
+        measure: bool = False,
+    ):
+        self.random = random.Random(seed)
+        self.limits = limits or spread_state.Limits()
+        self.loss = loss
+        self.delay = delay
+        self.measure = measure
+        self.now = START
+        self.nodes: dict[tuple[str, int], Node] = {}
+        self.names: dict[str, Node] = {}
+        self.streams = {"values": Log(), "instances": Log()}
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.waiting: list[tuple[Node, spread_state.WatchPlatform]] = []
+        self.queue: list[tuple[int, int, typing.Callable, tuple]] = []
+        self.order = itertools.count()
+        self.platform_up = True
+
+    def add(
+        self,
+        name: str,
+        zone: str = "umea",
+        role: str = "balancer",
+        seeds: typing.Sequence[str] = (),
+        listed: bool = True,
+    ) -> Node:
+        """Start a process at a fresh address, and list it on the platform."""
+        number = len(self.nodes) + 1
+        address = (f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 7000)
+        addresses = tuple(self.names[seed].core.membership.own.address for seed in seeds)
+        core = spread.make_spread(
+            name,
+            role,
+            address,
+            zone,
+            addresses,
+            self.limits,
+            random.Random(self.random.randrange(1 << 60)),
+            self.now,
+        )
+        node = Node(core)
+        self.nodes[address] = self.names[name] = node
+        if listed:
+            self.list_instance(node)
+        self.at(self.now + self.random.randrange(TICK_MS), self.tick, node)
+        return node
+
+    def list_instance(self, node: Node, *, leaving: bool = False, gone: bool = False) -> None:
+        """Publish what the list says of a node."""
+        own = node.core.membership.own
+        instance = assembly.Instance(own.name, own.role, own.address, own.zone, leaving)
+        self.publish("instances", own.name, None if gone else instance)
+
+    def publish_value(self, key: str, value: typing.Any) -> int:
+        """Publish a document and return its revision."""
+        self.publish("values", key, configuration.pack_value(value))
+        return self.streams["values"].revision
+
+    def publish(self, stream: str, key: str, value: typing.Any) -> None:
+        """Publish a value and let the watches that wait for it go."""
+        self.streams[stream].put(key, value)
+        waiting, self.waiting = self.waiting, []
+        for node, call in waiting:
+            self.answer(node, call)
+
+    def at(self, when: int, action: typing.Callable, *arguments: typing.Any) -> None:
+        """Do something at a time."""
+        heapq.heappush(self.queue, (when, next(self.order), action, arguments))
+
+    def run(self, span: int, until: typing.Callable[[], bool] | None = None) -> bool:
+        """Let `span` ms pass, or less if `until` comes true; return whether it did."""
+        end = self.now + span
+        checked = self.now
+        while self.queue and self.queue[0][0] <= end:
+            when, _, action, arguments = heapq.heappop(self.queue)
+            self.now = when
+            action(*arguments)
+            if until is not None and self.now >= checked + 100:
+                checked = self.now
+                if until():
+                    return True
+        self.now = end
+        return until is not None and until()
+
+    def tick(self, node: Node) -> None:
+        """Post a tick and plan the next one."""
+        if not node.alive:
+            return
+        self.post(node, spread.Tick())
+        self.at(self.now + TICK_MS, self.tick, node)
+
+    def post(self, node: Node, event: typing.Any) -> None:
+        """Let a core decide and carry out its effects."""
+        if not node.alive:
+            return
+        if node.paused_until > self.now:
+            if not isinstance(event, spread.Tick):
+                self.at(node.paused_until, self.post, node, event)
+            return
+        begin = time.perf_counter_ns()
+        effects = spread.decide(node.core, event, self.now)
+        node.busy_ns += time.perf_counter_ns() - begin
+        for effect in effects:
+            self.carry_out(node, effect)
+
+    def carry_out(self, node: Node, effect: spread_state.Effect) -> None:
+        """Do what a core asks for."""
+        match effect:
+            case spread_state.SendMessage():
+                self.send(node, effect)
+            case spread_state.WatchPlatform():
+                self.call(node, effect)
+            case spread_state.Fetch():
+                self.fetch(node, effect)
+            case spread_state.InForce():
+                self.note(node, may_act=True)
+                node.in_force_at.setdefault(node.core.configuration.digest.values, self.now)
+            case spread_state.FellBehind():
+                self.note(node, may_act=False)
+            case _:
+                node.traces.append(effect)
+
+    def note(self, node: Node, *, may_act: bool) -> None:
+        """Record whether a node may act, and on which revision."""
+        node.may_act = may_act
+        node.acts.append((self.now, may_act, node.core.configuration.digest.values))
+
+    def send(self, node: Node, effect: spread_state.SendMessage) -> None:
+        """Deliver a datagram after a delay, or lose it."""
+        data = b""
+        if self.measure:
+            begin = time.perf_counter_ns()
+            data = control.CONTROL.encode(effect.message)
+            node.busy_ns += time.perf_counter_ns() - begin
+        node.sent += 1
+        node.sent_bytes += len(data) + SEAL_BYTES
+        if self.random.random() < self.loss:
+            return
+        sender = node.core.membership.own.address
+        when = self.now + self.random.randint(*self.delay)
+        self.at(when, self.deliver, node, sender, effect, data)
+
+    def deliver(
+        self, sender: Node, address: tuple, effect: spread_state.SendMessage, data: bytes
+    ) -> None:
+        """Hand a datagram to its node unless a partition or death is in the way."""
+        node = self.nodes.get(effect.address)
+        if node is None or not node.alive or node.group != sender.group:
+            return
+        message = effect.message
+        if self.measure:
+            begin = time.perf_counter_ns()
+            message = control.CONTROL.decode(data)
+            node.busy_ns += time.perf_counter_ns() - begin
+        node.received += 1
+        node.received_bytes += len(data) + SEAL_BYTES
+        self.post(node, spread.Arrived(address, message))
+
+    def fetch(self, node: Node, effect: spread_state.Fetch) -> None:
+        """Answer a pull over a websocket, or let it fail."""
+        peer = self.nodes.get(effect.address)
+        usable = peer is not None and peer.alive and peer.group == node.group
+        if not usable or peer.paused_until > self.now:
+            self.at(self.now + 1000, self.post, node, spread.FetchFailed(effect.pull.nonce))
+            return
+        begin = time.perf_counter_ns()
+        reply = spread.pulling.serve(peer.core, effect.pull, self.now)
+        peer.busy_ns += time.perf_counter_ns() - begin
+        if isinstance(reply, control.UpdateReply):
+            peer.sent_bytes += len(reply.update)
+            node.received_bytes += len(reply.update)
+        self.at(self.now + 2 * self.delay[1], self.post, node, spread.Fetched(reply))
+
+    def call(self, node: Node, call: spread_state.WatchPlatform) -> None:
+        """Take a call of the platform: answer, let it wait, or let it fail."""
+        self.calls[call.stream] += 1
+        if not self.platform_up or not node.platform_up:
+            self.at(self.now + 50, self.post, node, spread.PlatformFailed(call.stream))
+        elif min(self.streams[call.stream].revision, node.ceiling) > call.after:
+            self.answer(node, call)
+        else:
+            self.waiting.append((node, call))
+            self.at(max(call.wait_until, self.now), self.time_out, node, call)
+
+    def time_out(self, node: Node, call: spread_state.WatchPlatform) -> None:
+        """Answer a watch for which nothing came."""
+        for index, (_, waiting) in enumerate(self.waiting):
+            if waiting is call:
+                del self.waiting[index]
+                self.answer(node, call)
+                return
+
+    def answer(self, node: Node, call: spread_state.WatchPlatform) -> None:
+        """Send the platform's answer."""
+        if not self.platform_up or not node.platform_up:
+            event = spread.PlatformFailed(call.stream)
+        else:
+            delta = self.streams[call.stream].delta(call.after, node.ceiling)
+            event = spread.PlatformRead(call.stream, delta, False)
+        self.at(self.now + 3, self.post, node, event)
+
+    def everyone(self, revision: int) -> bool:
+        """Tell whether a revision is in force at every node that is alive."""
+        return all(
+            node.may_act and node.core.configuration.digest.values >= revision
+            for node in self.names.values()
+            if node.alive
+        )
+
+    def kill(self, *nodes: Node) -> None:
+        """End processes without a word."""
+        for node in nodes:
+            node.alive = False
+
+    def watchers(self) -> list[Node]:
+        """Return the nodes whose calls wait at the platform now."""
+        waiting = {id(node): node for node, _ in self.waiting if node.alive}
+        return list(waiting.values())
--- a/src/ebonystile/codec.py
+++ b/src/ebonystile/codec.py
@@ -48,10 +48,10 @@
     raise TypeError(f"no check for {annotation}")
 
 
-def _freeze(value: typing.Any) -> typing.Any:
+def freeze(value: typing.Any) -> typing.Any:
     """Turn the lists that CBOR gives into tuples, so messages can be compared and hashed."""
     if type(value) is list:
-        return tuple(_freeze(item) for item in value)
+        return tuple(freeze(item) for item in value)
     return value
 
 
@@ -100,7 +100,7 @@
         for (name, check), value in zip(checks, items[1:], strict=True):
             if not check(value):
                 raise self.fault(f"{message_type.__name__}.{name} has a wrong type")
-        return message_type(*[_freeze(value) for value in items[1:]])
+        return message_type(*[freeze(value) for value in items[1:]])
 
     def fault(self, reason: str) -> errors.DatagramError:
         """Return the error for a datagram of this family."""
--- /dev/null
+++ b/src/ebonystile/core/budget.py
@@ -0,0 +1,29 @@
+"""Limit a rate with one stored time: the generic cell rate algorithm (ITU-T I.371)."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Budget:
+    """A token bucket of `burst` units that refills at `rate` units a second.
+
+    `full_at` is when the bucket will be full again; it is the only state.
+    """
+
+    rate: int
+    burst: int
+    full_at: int = 0
+
+    def take(self, units: int, now: int) -> bool:
+        """Take the units if the bucket holds them; a full bucket gives any amount once."""
+        start = max(self.full_at, now)
+        spent = (start - now) * self.rate // 1000
+        if spent and spent + units > self.burst:
+            return False
+        self.full_at = start + units * 1000 // self.rate
+        return True
+
+    def ready_at(self, units: int, now: int) -> int:
+        """Return when `units` could be taken."""
+        room = max(0, self.burst - units)
+        return max(now, self.full_at - room * 1000 // self.rate)
--- /dev/null
+++ b/src/ebonystile/core/catching_up.py
@@ -0,0 +1,87 @@
+"""Let a process that starts, or wakes from a pause, act only once its view is up to date.
+
+It asks the platform and several peers at once and takes the highest revision of all:
+
+- platform down: the peers' answer is enough, from one that has caught up itself;
+- platform stale, or answering an older revision: the peers' higher revision is taken;
+- every peer behind: the platform's higher revision is taken, and spread;
+- alone: the platform's answer is enough once the peers had their time to answer;
+- neither answers: the process does not serve, and asks again.
+"""
+
+from ebonystile.core import membership, probing, spread_state, watching
+from ebonystile.peer import control
+
+PEERS_ASKED = 3
+"""Random peers asked beside the seeds."""
+
+SEEDS_ASKED = 4
+
+
+def begin(spread: spread_state.Spread, now: int, rounds: int = 0) -> None:
+    """Ask the platform and several peers; nothing is acted on until `finish`."""
+    catch_up = spread_state.CatchUp(now + spread.limits.start_bound, rounds=rounds)
+    spread.catch_up = catch_up
+    for stream in spread.streams.values():
+        stream.next_at = now if not rounds else stream.next_at
+    seeds = list(spread.seeds)
+    addresses = {
+        seeds.pop(spread.randomness.randrange(len(seeds)))
+        for _ in range(min(SEEDS_ASKED, len(seeds)))
+    }
+    names = membership.pick(spread.balancers, PEERS_ASKED, spread.randomness, set())
+    addresses.update(spread.membership.address_of(name) for name in names)
+    addresses.discard(spread.membership.own.address)
+    for address in sorted(addresses):
+        catch_up.asked[probing.ask(spread, address, "", now)] = address
+
+
+def on_beat(spread: spread_state.Spread, beat: control.Beat) -> None:
+    """Count the answer of a peer; one that is catching up itself proves nothing."""
+    catch_up = spread.catch_up
+    if catch_up is None or catch_up.asked.pop(beat.answers, None) is None:
+        return
+    if beat.caught_up:
+        catch_up.peers_answered += 1
+
+
+def on_platform(spread: spread_state.Spread, stream: str, answered: bool) -> None:
+    """Note that the platform has answered for a stream, or has failed to."""
+    if spread.catch_up is not None:
+        spread.catch_up.platform[stream] = answered
+
+
+def on_tick(spread: spread_state.Spread, now: int) -> None:
+    """Finish once there is enough, or start another round."""
+    catch_up = spread.catch_up
+    if catch_up is None:
+        return
+    by_platform = all(catch_up.platform.get(name) for name in watching.STREAMS)
+    heard_platform = len(catch_up.platform) == len(watching.STREAMS)
+    late = now >= catch_up.until
+    pulling_still = spread.pull is not None or bool(spread.ahead)
+    if not late and (catch_up.asked or not heard_platform or pulling_still):
+        return
+    if pulling_still and now < catch_up.until + spread.limits.start_bound:
+        # A peer has shown more: serving without it could revert what callers have seen.
+        return
+    if by_platform or catch_up.peers_answered:
+        finish(spread, by_platform)
+    elif late:
+        if catch_up.rounds == 0:
+            spread.trace("catch_up_waiting", reason="neither the platform nor a peer answers")
+        begin(spread, now, catch_up.rounds + 1)
+
+
+def finish(spread: spread_state.Spread, by_platform: bool) -> None:
+    """Act on the view from now on."""
+    digest = spread.configuration.digest
+    spread.trace(
+        "caught_up",
+        values=digest.values,
+        instances=digest.instances,
+        platform=by_platform,
+        peers=spread.catch_up.peers_answered,
+    )
+    spread.catch_up = None
+    spread.changed = True
--- a/src/ebonystile/core/configuration.py
+++ b/src/ebonystile/core/configuration.py
@@ -21,8 +21,8 @@
 MAX_FAULTS = 8
 """Faults of one document that are kept and spread; the check command shows them all."""
 
-LIVE, LEAVING, GONE = "live", "leaving", "gone"
-"""The states of an instance in the platform's list."""
+UPDATE_BYTES = 512 << 10
+"""Bytes of values after which an update ends; the asking process then asks for the rest."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -171,22 +171,33 @@
             lacking.append((key, entry.revision if entry else 0))
         return Wanted(self.digest, tuple(lacking))
 
+    @property
+    def incomplete(self) -> bool:
+        """Tell whether a key was refused here that may be in force elsewhere at an older value."""
+        return any(key not in self.values.entries for key in self.refusals)
+
     def update_for(self, wanted: Wanted) -> Update:
-        """Return everything that the asking process lacks."""
-        values = self.values.delta(wanted.digest.values)
-        named = {key for key, _ in values.entries}
-        extra = tuple(
-            (key, self.values.entries[key])
-            for key, revision in wanted.lacking
-            if key not in named
-            and key in self.values.entries
-            and self.values.entries[key].revision > revision
-        )
-        if extra:
-            values = dataclasses.replace(values, entries=values.entries + extra)
-        refusals = tuple(r for r in self.refused if r.revision > values.after)
+        """Return what the asking process lacks, or the first part of it.
+
+        The list of instances comes with the last part of the values.
+        """
+        values = self.values.delta(wanted.digest.values, UPDATE_BYTES)
+        values = dataclasses.replace(values, entries=values.entries + self.lacked(wanted, values))
+        refusals = tuple(r for r in self.refused if values.after < r.revision <= values.complete)
+        if values.complete < self.values.complete:
+            after = wanted.digest.instances
+            return Update(values, store.Delta(after, after, 0, ()), refusals)
         return Update(values, self.instances.delta(wanted.digest.instances), refusals)
 
+    def lacked(self, wanted: Wanted, values: store.Delta) -> tuple[tuple[str, store.Entry], ...]:
+        """Return the first entry in force for a key that the asking process could not accept."""
+        named = {key for key, _ in values.entries}
+        for key, revision in wanted.lacking:
+            entry = self.values.entries.get(key)
+            if entry is not None and key not in named and entry.revision > revision:
+                return ((key, entry),)
+        return ()
+
     def apply(self, update: Update) -> Changes:
         """Take in an update of a peer."""
         keys, refusals = self.apply_values(update.values)
--- /dev/null
+++ b/src/ebonystile/core/probing.py
@@ -0,0 +1,178 @@
+"""Compare notes with random peers, and find out by the same question who is silent."""
+
+from ebonystile.core import membership, pulling, spread_state, view
+from ebonystile.peer import control
+
+HELPERS = 3
+"""Peers asked to try one that is silent."""
+
+ANYONE_SHARE = 0.2
+"""Share of questions to peers believed dead as well: after a partition these heal the fleet."""
+
+OTHER_ROLE_SHARE = 0.125
+"""Share of a balancer's questions that go to sidecars."""
+
+SEEDS_SHARE = 0.05
+"""Share of questions to the seeds of the settings, the last bridge after a long partition."""
+
+SIDECAR_FACTOR = 4
+"""How many times more seldom sidecars ask: they are many, and nobody learns from them."""
+
+PRUNE_MS = 2_000
+MAX_HELPING = 256
+MAX_GENERATION = 1 << 63
+
+
+def on_tick(spread: spread_state.Spread, now: int) -> None:
+    """Ask, tell, suspect and forget what is due."""
+    for nonce, probe in list(spread.probes.items()):
+        if now >= probe.deadline:
+            on_silence(spread, nonce, probe, now)
+    if now >= spread.exchange_at:
+        span = spread.limits.exchange * (1 if spread.is_balancer else SIDECAR_FACTOR)
+        spread.exchange_at = now + span // 2 + spread.jitter(span)
+        ask_random(spread, now)
+    if spread.rumour_due and now >= spread.rumour_at and spread.caught_up:
+        spread.rumour_due = False
+        spread.rumour_at = now + spread.limits.rumour_gap
+        tell_random(spread)
+    if now >= spread.prune_at:
+        spread.prune_at = now + PRUNE_MS
+        spread.note_members(spread.membership.prune(now))
+        for name in [n for n, (_, until) in spread.helping.items() if now >= until]:
+            del spread.helping[name]
+
+
+def ask_random(spread: spread_state.Spread, now: int) -> None:
+    """Ask one peer for its beat."""
+    name = choose(spread)
+    if name is None:
+        if spread.seeds:
+            ask(spread, spread.seeds[spread.randomness.randrange(len(spread.seeds))], "", now)
+        return
+    address = spread.membership.address_of(name)
+    if address is not None:
+        ask(spread, address, name, now)
+
+
+def choose(spread: spread_state.Spread) -> str | None:
+    """Return a peer at random, None for one of the seeds."""
+    draw = spread.randomness.random()
+    names = spread.balancers or spread.sidecars
+    if spread.is_balancer and spread.sidecars and draw < OTHER_ROLE_SHARE:
+        names = spread.sidecars
+    if spread.seeds and draw > 1 - SEEDS_SHARE:
+        return None
+    anyone = spread.randomness.random() < ANYONE_SHARE
+    for _ in range(8):
+        if not names:
+            break
+        name = names[spread.randomness.randrange(len(names))]
+        if anyone or spread.membership.usable(name):
+            return name
+    return None
+
+
+def ask(spread: spread_state.Spread, address: view.Address, name: str, now: int) -> int:
+    """Ask for a beat; a peer with a `name` is suspected if it stays silent."""
+    nonce = spread.new_nonce()
+    if name:
+        spread.probes[nonce] = spread_state.Probe(name, now + spread.limits.answer)
+    first = newer_word(spread, name, MAX_GENERATION)
+    spread.send(address, spread.beat(nonce=nonce, first=first))
+    return nonce
+
+
+def newer_word(
+    spread: spread_state.Spread, name: str, generation: int
+) -> membership.Statement | None:
+    """Return what is held on a process that goes beyond its own word, if anything.
+
+    A process that is suspected must learn of it to refute, and one whose name another process has
+    taken while it was paused must learn of that to yield.
+    """
+    statement = spread.membership.statement_of(name)
+    if statement is None:
+        return None
+    accused = statement.state >= membership.State.SUSPECT
+    return statement if accused or statement.generation > generation else None
+
+
+def tell_random(spread: spread_state.Spread) -> None:
+    """Tell a few balancers how far this process is; they pull what they lack."""
+    for name in pick_usable(spread, spread.limits.fanout, ""):
+        spread.send(spread.membership.address_of(name), spread.beat())
+
+
+def pick_usable(spread: spread_state.Spread, count: int, banned: str) -> list[str]:
+    """Return up to `count` balancers at random that may be counted on."""
+    names = membership.pick(spread.balancers, 2 * count, spread.randomness, {banned})
+    return [name for name in names if spread.membership.usable(name)][:count]
+
+
+def on_silence(spread: spread_state.Spread, nonce: int, probe: spread_state.Probe, now: int):
+    """Have others try a silent peer; suspect it if they fail too."""
+    del spread.probes[nonce]
+    if probe.indirect:
+        if spread.membership.suspect(probe.name, now):
+            spread.trace("suspected", name=probe.name)
+            spread.note_members([probe.name])
+        return
+    address = spread.membership.address_of(probe.name)
+    if address is None or not spread.membership.usable(probe.name):
+        return
+    deadline = now + 3 * spread.limits.answer
+    spread.probes[nonce] = spread_state.Probe(probe.name, deadline, indirect=True)
+    for name in pick_usable(spread, HELPERS, probe.name):
+        question = control.ProbeFor(probe.name, address)
+        spread.send(spread.membership.address_of(name), question)
+
+
+def on_probe_for(
+    spread: spread_state.Spread, asker: view.Address, message: control.ProbeFor, now: int
+) -> None:
+    """Try a process for another; its answer is passed on when it comes."""
+    if len(spread.helping) >= MAX_HELPING:
+        return
+    spread.helping[message.name] = (asker, now + 2 * spread.limits.answer)
+    spread.send(message.address, spread.beat(nonce=spread.new_nonce()))
+
+
+def on_beat(
+    spread: spread_state.Spread, address: view.Address, beat: control.Beat, now: int
+) -> None:
+    """Take in what a peer says of itself and others, and answer if it asks."""
+    sender = control.unpack_statement(beat.sender)
+    items = [control.unpack_statement(item) for item in beat.news]
+    own_before = spread.membership.own
+    changed = [item.name for item in items if spread.membership.learn(item, now)]
+    if sender.name != own_before.name and spread.membership.hear(sender, now):
+        changed.append(sender.name)
+    spread.note_members(n for n in changed if n != own_before.name)
+    if spread.membership.own is not own_before:
+        spread.trace("suspicion_refuted", generation=spread.membership.own.generation)
+        spread.send(address, spread.beat())
+    settle(spread, beat, sender, items)
+    spread.heard_at = now
+    spread.note_fresh(beat.fresh_as_of, now)
+    pulling.note_ahead(spread, address, spread_state.digest_of(beat), now)
+    if beat.nonce:
+        first = newer_word(spread, sender.name, sender.generation)
+        spread.send(address, spread.beat(answers=beat.nonce, first=first))
+
+
+def settle(
+    spread: spread_state.Spread,
+    beat: control.Beat,
+    sender: membership.Statement,
+    items: list[membership.Statement],
+) -> None:
+    """End the probes that this beat answers, and pass an answer on to who asked for it."""
+    spread.probes.pop(beat.answers, None)
+    alive = {item.name for item in items if item.state < membership.State.SUSPECT}
+    alive.add(sender.name)
+    for nonce in [n for n, p in spread.probes.items() if p.indirect and p.name in alive]:
+        del spread.probes[nonce]
+    helped = spread.helping.pop(sender.name, None)
+    if helped is not None:
+        spread.send(helped[0], spread.beat(first=sender))
--- /dev/null
+++ b/src/ebonystile/core/pulling.py
@@ -0,0 +1,129 @@
+"""Get what a peer shows to have more of, and give peers what they ask for, within a budget."""
+
+from ebonystile.core import configuration, membership, spread_state, view
+from ebonystile.peer import control
+
+MAX_AHEAD = 8
+"""Peers remembered that have shown more; any one of them will do."""
+
+MAX_PACKED = 2
+"""Packed updates kept, so that many pulls of one state cost one packing."""
+
+FILL_MS = 5_000
+"""How often a process that lacks a document it refused asks for an older value of it, in ms."""
+
+WEBSOCKET_TIMEOUTS = 5
+"""How many times longer than a datagram a websocket may take."""
+
+
+def note_ahead(
+    spread: spread_state.Spread, address: view.Address, digest: configuration.Digest, now: int
+) -> None:
+    """Remember that a peer shows more, and pull soon; the jitter spreads the fleet's pulls."""
+    if not spread.configuration.digest.behind(digest):
+        spread.ahead.pop(address, None)
+        return
+    if len(spread.ahead) >= MAX_AHEAD and address not in spread.ahead:
+        return
+    if not spread.ahead and spread.pull is None:
+        spread.pull_at = now + spread.jitter(spread.limits.pull_jitter)
+    spread.ahead[address] = digest
+
+
+def on_tick(spread: spread_state.Spread, now: int) -> None:
+    """Give up the pull that was not answered, and start the one that is due."""
+    if spread.pull is not None and now >= spread.pull.deadline:
+        forget(spread, now)
+    if spread.pull is not None or now < spread.pull_at or not spread.ahead:
+        return
+    own = spread.configuration.digest
+    for address in [a for a, digest in spread.ahead.items() if not own.behind(digest)]:
+        del spread.ahead[address]
+    if spread.ahead:
+        addresses = list(spread.ahead)
+        start(spread, addresses[spread.randomness.randrange(len(addresses))], now)
+
+
+def fill_in(spread: spread_state.Spread, now: int) -> None:
+    """Ask for the older value of a refused document, which may be in force elsewhere."""
+    if spread.pull is not None or now < spread.fill_at or not spread.configuration.incomplete:
+        return
+    spread.fill_at = now + FILL_MS + spread.jitter(FILL_MS)
+    for name in membership.pick(spread.balancers, 1, spread.randomness, set()):
+        start(spread, spread.membership.address_of(name), now)
+
+
+def start(spread: spread_state.Spread, address: view.Address, now: int) -> None:
+    """Send a pull; one from scratch is large and goes over a websocket at once."""
+    wanted = spread.configuration.wanted()
+    pull = control.make_pull(spread.new_nonce(), wanted)
+    deadline = now + spread.limits.pull_timeout
+    if wanted.digest.values == 0:
+        fetch(spread, address, pull, now)
+        return
+    spread.pull = spread_state.PullUnderWay(pull.nonce, address, deadline)
+    spread.send(address, pull)
+
+
+def fetch(spread: spread_state.Spread, address: view.Address, pull: control.Pull, now: int) -> None:
+    """Send a pull over a websocket."""
+    wait_until = now + WEBSOCKET_TIMEOUTS * spread.limits.pull_timeout
+    spread.pull = spread_state.PullUnderWay(pull.nonce, address, wait_until)
+    spread.pending.append(spread_state.Fetch(address, pull, wait_until))
+
+
+def forget(spread: spread_state.Spread, now: int, retry_at: int = 0) -> None:
+    """End the pull under way and turn to another peer that has shown more."""
+    spread.ahead.pop(spread.pull.address, None)
+    spread.pull = None
+    spread.pull_at = max(retry_at, now + spread.jitter(spread.limits.pull_jitter))
+
+
+def on_reply(spread: spread_state.Spread, reply: control.UpdateReply, now: int) -> None:
+    """Take in an update. A late one is as good as any: joining cannot revert."""
+    update = control.unpack_update(reply.update)
+    before = spread.configuration.digest
+    changes = spread.configuration.apply(update)
+    if changes or spread.configuration.digest != before:
+        spread.note_changes(changes)
+    spread.note_fresh(reply.fresh_as_of, now)
+    if spread.pull is not None and spread.pull.nonce == reply.nonce:
+        spread.pull = None
+        spread.pull_at = now
+
+
+def on_too_large(spread: spread_state.Spread, nonce: int, now: int) -> None:
+    """Ask again over a websocket."""
+    if spread.pull is not None and spread.pull.nonce == nonce:
+        pull = control.make_pull(nonce, spread.configuration.wanted())
+        fetch(spread, spread.pull.address, pull, now)
+
+
+def on_failed(spread: spread_state.Spread, nonce: int, now: int, retry_at: int = 0) -> None:
+    """Turn to another peer."""
+    if spread.pull is not None and spread.pull.nonce == nonce:
+        forget(spread, now, min(retry_at, now + spread.limits.exchange))
+
+
+def serve(
+    spread: spread_state.Spread, pull: control.Pull, now: int, limit: int | None = None
+) -> control.UpdateReply | control.TooLarge | control.Busy:
+    """Answer a pull within the budget, in at most `limit` bytes."""
+    packed = pack(spread, control.wanted_of(pull))
+    if limit is not None and len(packed) > limit:
+        return control.TooLarge(pull.nonce)
+    if not spread.update_budget.take(len(packed), now):
+        return control.Busy(pull.nonce, spread.update_budget.ready_at(len(packed), now))
+    return control.UpdateReply(pull.nonce, spread.caught_up, spread.fresh_as_of, packed)
+
+
+def pack(spread: spread_state.Spread, wanted: configuration.Wanted) -> bytes:
+    """Return the packed update, from the few kept if it is there."""
+    key = (spread.configuration.digest, wanted)
+    packed = spread.packed.get(key)
+    if packed is None:
+        packed = control.pack_update(spread.configuration.update_for(wanted))
+        spread.packed[key] = packed
+        if len(spread.packed) > MAX_PACKED:
+            spread.packed.popitem(last=False)
+    return packed
--- /dev/null
+++ b/src/ebonystile/core/spread.py
@@ -0,0 +1,248 @@
+"""Bring every process to the newest configuration: `decide(spread, event, now)` gives effects.
+
+A few watchers a zone ask the platform; everyone else learns from peers. Each message between
+processes shows how far its sender is, and whoever is behind pulls from whoever showed more. A
+change is told on at once to a few random peers, and each process compares notes with a random
+peer about once a second, which reaches all in a number of rounds that grows with the logarithm of
+the fleet (Demers et al., "Epidemic algorithms for replicated database maintenance", 1987).
+No clock, socket, thread or global randomness is used here.
+"""
+
+import dataclasses
+import functools
+
+from ebonystile.core import (
+    budget,
+    catching_up,
+    configuration,
+    membership,
+    probing,
+    pulling,
+    spread_state,
+    state,
+    store,
+    view,
+    watching,
+)
+from ebonystile.peer import control
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed; posted about every 100 ms."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived:
+    """A sealed control message has been opened."""
+
+    address: view.Address
+    message: control.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shown:
+    """A packet of the data path showed its sender's revision, higher than the one known."""
+
+    address: view.Address
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformRead:
+    """The platform answered a watch; with `more` only the first part of what there is."""
+
+    stream: str
+    delta: store.Delta
+    more: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformFailed:
+    """The platform gave no usable answer."""
+
+    stream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetched:
+    """A pull over a websocket was answered."""
+
+    reply: control.UpdateReply | control.Busy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchFailed:
+    """A pull over a websocket gave no usable answer."""
+
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """The process has been asked to stop."""
+
+
+def make_spread(
+    name: str,
+    role: str,
+    address: view.Address,
+    zone: str,
+    seeds: tuple[view.Address, ...],
+    limits: spread_state.Limits,
+    randomness: state.Randomness,
+    now: int,
+) -> spread_state.Spread:
+    """Return the core of a process that starts `now`; it begins to catch up at the first tick."""
+    spread = spread_state.Spread(
+        membership.make_membership(name, role, address, zone, now, membership.Limits()),
+        configuration.Configuration(),
+        limits,
+        randomness,
+        tuple(seed for seed in seeds if seed != address),
+        last_at=now,
+        started_at=now,
+        heard_at=now,
+        update_budget=budget.Budget(limits.update_rate, limits.update_burst),
+        catch_up=spread_state.CatchUp(until=now),
+    )
+    spread.membership.listed = spread.configuration.instances.entries
+    spread.streams = {name: spread_state.Stream(name) for name in watching.STREAMS}
+    catching_up.begin(spread, now)
+    return spread
+
+
+def decide(spread: spread_state.Spread, event, now: int) -> list[spread_state.Effect]:
+    """Take in one event at time `now` (ms) and return what is to be done, in order."""
+    notice_pause(spread, now)
+    on_event(event, spread, now)
+    if spread.changed and spread.caught_up:
+        spread.changed = False
+        spread.pending.append(spread_state.InForce())
+    taken = spread.pending
+    spread.pending = []
+    return taken
+
+
+def notice_pause(spread: spread_state.Spread, now: int) -> None:
+    """Catch up anew after a pause: the view is old, and callers may have seen newer.
+
+    Ticks come every 100 ms in a running process, so a long gap means that it was stopped. What
+    waited meanwhile is void: silent peers may have answered, and were not heard.
+    """
+    gap = now - spread.last_at
+    spread.last_at = max(spread.last_at, now)
+    if gap <= spread.limits.pause_bound:
+        return
+    spread.trace("woke", gap_ms=gap)
+    spread.probes.clear()
+    spread.helping.clear()
+    spread.ahead.clear()
+    spread.pull = None
+    for stream in spread.streams.values():
+        stream.calling_until = 0
+    spread.heard_at = now
+    spread.pending.append(spread_state.FellBehind())
+    catching_up.begin(spread, now)
+
+
+@functools.singledispatch
+def on_event(event, spread: spread_state.Spread, now: int) -> None:
+    """Act on one event."""
+    raise TypeError(f"no rule for {type(event).__name__}")
+
+
+@on_event.register
+def _(event: Tick, spread, now):
+    spread.refresh_roster(now)
+    pulling.on_tick(spread, now)
+    probing.on_tick(spread, now)
+    watching.on_tick(spread, now)
+    catching_up.on_tick(spread, now)
+    pulling.fill_in(spread, now)
+
+
+@on_event.register
+def _(event: Arrived, spread, now):
+    on_message(event.message, spread, event.address, now)
+
+
+@on_event.register
+def _(event: Shown, spread, now):
+    pulling.note_ahead(spread, event.address, configuration.Digest(event.revision), now)
+
+
+@on_event.register
+def _(event: PlatformRead, spread, now):
+    before = spread.configuration.digest
+    older = event.delta.complete < watching.known(spread, event.stream)
+    if event.stream == watching.VALUES:
+        keys, refusals = spread.configuration.apply_values(event.delta)
+        changes = configuration.Changes(tuple(keys), tuple(refusals))
+    else:
+        names = spread.configuration.apply_instances(event.delta)
+        changes = configuration.Changes(instances=tuple(names))
+    if changes or spread.configuration.digest != before:
+        spread.note_changes(changes)
+    watching.on_read(spread, event.stream, event.delta, event.more, now)
+    if not event.more:
+        catching_up.on_platform(spread, event.stream, answered=not older)
+
+
+@on_event.register
+def _(event: PlatformFailed, spread, now):
+    watching.on_failed(spread, event.stream, now)
+    catching_up.on_platform(spread, event.stream, answered=False)
+
+
+@on_event.register
+def _(event: Fetched, spread, now):
+    on_message(event.reply, spread, None, now)
+
+
+@on_event.register
+def _(event: FetchFailed, spread, now):
+    pulling.on_failed(spread, event.nonce, now)
+
+
+@on_event.register
+def _(event: Leave, spread, now):
+    spread.membership.leave()
+    probing.tell_random(spread)
+
+
+@functools.singledispatch
+def on_message(message, spread: spread_state.Spread, address: view.Address, now: int) -> None:
+    """Act on one message of another process."""
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@on_message.register
+def _(message: control.Beat, spread, address, now):
+    probing.on_beat(spread, address, message, now)
+    catching_up.on_beat(spread, message)
+
+
+@on_message.register
+def _(message: control.Pull, spread, address, now):
+    spread.send(address, pulling.serve(spread, message, now, control.DATAGRAM_BYTES))
+
+
+@on_message.register
+def _(message: control.UpdateReply, spread, address, now):
+    pulling.on_reply(spread, message, now)
+
+
+@on_message.register
+def _(message: control.TooLarge, spread, address, now):
+    pulling.on_too_large(spread, message.nonce, now)
+
+
+@on_message.register
+def _(message: control.Busy, spread, address, now):
+    pulling.on_failed(spread, message.nonce, now, message.retry_at)
+
+
+@on_message.register
+def _(message: control.ProbeFor, spread, address, now):
+    probing.on_probe_for(spread, address, message, now)
--- /dev/null
+++ b/src/ebonystile/core/spread_state.py
@@ -0,0 +1,287 @@
+"""Hold the state of the core that spreads the configuration, and the steps its parts share.
+
+The parts (`watching`, `pulling`, `probing`, `catching_up`) change this state and append effects;
+`spread.decide` is the only entrance from outside.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from ebonystile.core import budget, configuration, effects, membership, state, view
+from ebonystile.peer import control
+
+SKEW_BOUND = 1_000
+"""Most by which clocks of instances are trusted to differ, in ms.
+
+A watcher whose clock runs ahead would make its last word look fresh long after it died, and nobody
+would take its place; so no word counts as fresher than now and this bound.
+"""
+
+ROSTER_MS = 5_000
+"""How often the lists of peers are renewed when something has changed, in ms."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """The bounds of the spread; times are in ms, budgets in bytes.
+
+    exchange: between two questions to random peers. answer: until a peer counts as silent.
+    fanout: peers told at once of a change, at most every `rumour_gap`. pull_jitter, pull_timeout:
+    before a pull, and until it is given up. watch: wait of one watch of the platform; call_gap:
+    least time between two. backoff_least, backoff_most: after a failed call. stale: age of the
+    platform's last word at which others begin to watch; promotion: how long they do.
+    watchers, watchers_most: per zone, ordinarily and while the platform's word is old.
+    epoch: how long a choice of watchers lasts. solo_wait, solo_gap, solo_rate: a process that
+    hears no one, the gap between calls of those beyond `watchers_most`, and the most such calls a
+    second of the whole fleet. start_bound: longest wait for the answers before serving.
+    pause_bound: longest gap between events of a process that was not paused.
+    update_rate, update_burst: bytes of updates given to others.
+    """
+
+    exchange: int = 1_000
+    answer: int = 700
+    fanout: int = 4
+    rumour_gap: int = 1_000
+    pull_jitter: int = 100
+    pull_timeout: int = 1_000
+    watch: int = 2_000
+    call_gap: int = 500
+    call_margin: int = 3_000
+    backoff_least: int = 500
+    backoff_most: int = 15_000
+    stale: int = 8_000
+    promotion: int = 60_000
+    watchers: int = 2
+    watchers_most: int = 8
+    epoch: int = 600_000
+    solo_wait: int = 30_000
+    solo_gap: int = 60_000
+    solo_rate: int = 50
+    start_bound: int = 4_000
+    pause_bound: int = 3_000
+    update_rate: int = 6_000
+    update_burst: int = 4_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send a message to a process as a sealed datagram."""
+
+    address: view.Address
+    message: control.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchPlatform:
+    """Ask the platform for what changed after a revision; it may wait for that until then."""
+
+    stream: str
+    after: int
+    wait_until: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetch:
+    """Send a pull to a process over a websocket and post the answer."""
+
+    address: view.Address
+    pull: control.Pull
+    wait_until: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """Take the configuration's view: it has changed, or has been confirmed after a pause."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FellBehind:
+    """Do not act on the view until the next `InForce`: it may be old."""
+
+
+Effect = SendMessage | WatchPlatform | Fetch | InForce | FellBehind | effects.Trace
+
+
+@dataclasses.dataclass(slots=True)
+class Stream:
+    """The calls for one of the platform's two streams; one at a time.
+
+    `confirmed_at` is when the platform last answered with nothing older than what is known.
+    """
+
+    name: str
+    calling_until: int = 0
+    called_at: int = 0
+    next_at: int = 0
+    failures: int = 0
+    confirmed_at: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class PullUnderWay:
+    """The pull that waits for its answer."""
+
+    nonce: int
+    address: view.Address
+    deadline: int
+
+
+@dataclasses.dataclass(slots=True)
+class Probe:
+    """A question to a peer: by whom it should be answered, until when, and asked through whom."""
+
+    name: str
+    deadline: int
+    indirect: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class CatchUp:
+    """What a process that starts, or wakes from a pause, waits for before it may act."""
+
+    until: int
+    asked: dict[int, view.Address] = dataclasses.field(default_factory=dict)
+    peers_answered: int = 0
+    platform: dict[str, bool] = dataclasses.field(default_factory=dict)
+    rounds: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Spread:
+    """Everything that one process knows of the configuration and of the other processes."""
+
+    membership: membership.Membership
+    configuration: configuration.Configuration
+    limits: Limits
+    randomness: state.Randomness
+    seeds: tuple[view.Address, ...]
+    last_at: int
+    started_at: int
+    streams: dict[str, Stream] = dataclasses.field(default_factory=dict)
+    fresh_as_of: int = 0
+    own_fresh: int = 0
+    others_fresh: int = 0
+    heard_at: int = 0
+    promoted_until: int = 0
+    solo_at: int = 0
+    rank: int = 0
+    rank_at: int = 0
+    zone_mates: list[str] = dataclasses.field(default_factory=list)
+    balancers: list[str] = dataclasses.field(default_factory=list)
+    sidecars: list[str] = dataclasses.field(default_factory=list)
+    roster_at: int = 0
+    roster_stale: bool = True
+    exchange_at: int = 0
+    rumour_at: int = 0
+    rumour_due: bool = False
+    prune_at: int = 0
+    fill_at: int = 0
+    ahead: dict[view.Address, configuration.Digest] = dataclasses.field(default_factory=dict)
+    pull_at: int = 0
+    pull: PullUnderWay | None = None
+    probes: dict[int, Probe] = dataclasses.field(default_factory=dict)
+    helping: dict[str, tuple[view.Address, int]] = dataclasses.field(default_factory=dict)
+    catch_up: CatchUp | None = None
+    update_budget: budget.Budget = dataclasses.field(default_factory=lambda: budget.Budget(1, 1))
+    packed: collections.OrderedDict[typing.Any, bytes] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    changed: bool = False
+    pending: list[Effect] = dataclasses.field(default_factory=list)
+
+    @property
+    def caught_up(self) -> bool:
+        """Tell whether this process may act on its view."""
+        return self.catch_up is None
+
+    @property
+    def is_balancer(self) -> bool:
+        """Tell whether this process is one of the balancers."""
+        return self.membership.own.role == "balancer"
+
+    def send(self, address: view.Address, message: control.Message) -> None:
+        """Append the effect that sends a message."""
+        self.pending.append(SendMessage(address, message))
+
+    def trace(self, event: str, **fields: typing.Any) -> None:
+        """Record an event for logs and the time line."""
+        self.pending.append(effects.Trace(event, fields=tuple(fields.items())))
+
+    def jitter(self, span: int) -> int:
+        """Return a random time from 0 up to `span` ms."""
+        return int(self.randomness.random() * span)
+
+    def new_nonce(self) -> int:
+        """Return a number that no one guesses, never 0."""
+        return 1 + self.randomness.randrange(1 << 62)
+
+    def beat(
+        self, nonce: int = 0, answers: int = 0, first: membership.Statement | None = None
+    ) -> control.Beat:
+        """Return a beat with the next news, `first` before it."""
+        news = self.membership.take_news()
+        if first is not None:
+            news = (first, *(n for n in news if n.name != first.name))
+        digest = self.configuration.digest
+        return control.Beat(
+            control.pack_statement(self.membership.own),
+            nonce,
+            answers,
+            digest.values,
+            digest.instances,
+            self.fresh_as_of,
+            self.caught_up,
+            tuple(control.pack_statement(item) for item in news),
+        )
+
+    def note_fresh(self, as_of: int, now: int) -> None:
+        """Take in when, by another's word, the platform last confirmed the configuration."""
+        as_of = min(as_of, now + SKEW_BOUND)
+        self.fresh_as_of = max(self.fresh_as_of, as_of)
+        if as_of > self.own_fresh:
+            self.others_fresh = max(self.others_fresh, as_of)
+
+    def note_changes(self, changes: configuration.Changes) -> None:
+        """Pass on what an update changed: to the shell, to the peers, to the time line."""
+        for refusal in changes.refusals:
+            self.trace(
+                "document_refused",
+                key=refusal.key,
+                revision=refusal.revision,
+                faults="; ".join(refusal.faults),
+            )
+        for name in changes.instances:
+            if self.membership.instance_listed(name) is None:
+                self.membership.drop(name)
+            self.configuration.say(name, self.membership.overlay(name))
+        self.roster_stale = self.roster_stale or bool(changes.instances)
+        self.changed = True
+        self.rumour_due = True
+
+    def note_members(self, names: typing.Iterable[str]) -> None:
+        """Let what is now known of these processes go into the view."""
+        for name in names:
+            self.roster_stale = True
+            before = self.configuration.said.get(name)
+            overlay = self.membership.overlay(name)
+            if overlay != before:
+                self.configuration.say(name, overlay)
+                self.changed = True
+
+    def refresh_roster(self, now: int) -> None:
+        """Renew the lists of peers by role, seldom: it visits every instance."""
+        if not self.roster_stale or now < self.roster_at:
+            return
+        self.roster_stale = False
+        self.roster_at = now + ROSTER_MS
+        self.rank_at = 0
+        self.balancers = self.membership.names("balancer")
+        self.sidecars = self.membership.names("upstream")
+        zone = self.membership.own.zone
+        self.zone_mates = [n for n in self.balancers if self.membership.zone_of(n) == zone]
+
+
+def digest_of(beat: control.Beat) -> configuration.Digest:
+    """Return how far the sender of a beat is."""
+    return configuration.Digest(beat.values, beat.instances)
--- a/src/ebonystile/core/store.py
+++ b/src/ebonystile/core/store.py
@@ -3,14 +3,15 @@
 A store is a join-semilattice (Shapiro et al., "Conflict-free Replicated Data Types", 2011): each
 key keeps its entry of the highest revision, so joining is idempotent, commutative and monotonic.
 Deletions stay as tombstones, so that a delta can carry them; the oldest are dropped beyond a
-bound, and `floor` remembers up to which revision that has happened.
+bound, and `floor` remembers up to which revision that has happened. A copy behind the floor gets
+the names of all keys as well, and deletes those that are not among them.
 """
 
 import dataclasses
 import typing
 
 MAX_TOMBSTONES = 2_048
-"""Tombstones kept; a copy that is behind the dropped ones gets a snapshot instead of a delta."""
+"""Tombstones kept; a copy that is behind the dropped ones is sent the names of all keys."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,15 +29,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delta:
-    """All entries above `after` of a store that is complete up to `complete`.
+    """The entries above `after` and up to `complete` of another store, or of the platform.
 
-    With `after` 0 it is a snapshot: a key that it lacks was deleted if it is at or below `floor`.
+    `names` holds every key of the other store where the asking copy is behind dropped tombstones:
+    a key that it lacks was deleted if it is at or below `floor`.
     """
 
     after: int
     complete: int
     floor: int
     entries: tuple[tuple[str, Entry], ...]
+    names: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,18 +68,27 @@
         self.entries[key] = entry
         return True
 
-    def delta(self, after: int) -> Delta:
-        """Return what a copy complete up to `after` lacks: a snapshot if it is below the floor."""
-        if after < self.floor:
-            after = 0
-        entries = tuple((k, e) for k, e in self.entries.items() if e.revision > after)
-        return Delta(after, self.complete, self.floor, entries)
+    def delta(self, after: int, limit: int | None = None) -> Delta:
+        """Return what a copy complete up to `after` lacks, oldest first.
+
+        With a `limit` in bytes of values it ends early, but never within one revision.
+        """
+        entries = [(k, e) for k, e in self.entries.items() if e.revision > after]
+        entries.sort(key=lambda item: item[1].revision)
+        names = tuple(self.entries) if after < self.floor else None
+        complete = self.complete
+        if limit is not None:
+            count = count_within(entries, limit)
+            if count < len(entries):
+                entries = entries[:count]
+                complete = min(complete, entries[-1][1].revision)
+        return Delta(after, complete, self.floor, tuple(entries), names)
 
     def deleted_by(self, delta: Delta, kept: typing.Container[str] = ()) -> list[str]:
-        """Return the keys that a snapshot shows as deleted, but for those `kept`."""
-        if delta.after > 0 or delta.floor == 0:
+        """Return the keys that the names of a delta show as deleted, but for those `kept`."""
+        if delta.names is None:
             return []
-        named = {key for key, _ in delta.entries}
+        named = set(delta.names)
         return [
             key
             for key, entry in self.entries.items()
@@ -113,3 +125,14 @@
         changed += [key for key, entry in delta.entries if self.put(key, entry)]
         self.advance(delta)
         return changed
+
+
+def count_within(entries: list[tuple[str, Entry]], limit: int) -> int:
+    """Return how many entries fit into `limit` bytes: at least one, and whole revisions."""
+    size = 0
+    for index, (_, entry) in enumerate(entries):
+        size += len(entry.value or b"")
+        whole = index and entry.revision != entries[index - 1][1].revision
+        if size > limit and whole:
+            return index
+    return len(entries)
--- /dev/null
+++ b/src/ebonystile/peer/control.py
@@ -0,0 +1,205 @@
+"""The messages by which processes spread the configuration and learn of one another.
+
+All are sent as sealed datagrams; a `Pull` and its answer also go over a websocket where the answer
+is large. What comes in is trusted as far as the MAC goes: whoever has a key may publish.
+"""
+
+import dataclasses
+import typing
+import zlib
+
+import cbor2
+
+from ebonystile import codec, errors
+from ebonystile.core import assembly, configuration, membership, store
+
+MAX_UPDATE_BYTES = 24 << 20
+"""Most bytes of one update before compression: far more than the target size needs."""
+
+DATAGRAM_BYTES = 1_200
+"""Largest update sent as a datagram; larger ones would be cut into fragments on the way."""
+
+Address = tuple[str, int]
+
+News = tuple[str, str, Address, str, int, int]
+"""A statement on a process: name, role, address, zone, generation, state."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """Say who one is, how far one's configuration is, and some news of others.
+
+    `fresh_as_of` is the newest time (ms) known at which a watcher had the platform's word that
+    nothing newer exists. `nonce` other than 0 asks for a beat back that shows it in `answers`.
+    """
+
+    KIND: typing.ClassVar[int] = 64
+    sender: News
+    nonce: int
+    answers: int
+    values: int
+    instances: int
+    fresh_as_of: int
+    caught_up: bool
+    news: tuple[News, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pull:
+    """Ask for what one lacks: see `configuration.Wanted`."""
+
+    KIND: typing.ClassVar[int] = 65
+    nonce: int
+    values: int
+    instances: int
+    lacking: tuple[tuple[str, int], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpdateReply:
+    """Answer a pull; `update` is packed by `pack_update`."""
+
+    KIND: typing.ClassVar[int] = 66
+    nonce: int
+    caught_up: bool
+    fresh_as_of: int
+    update: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TooLarge:
+    """Say that the answer to a pull does not fit a datagram: ask again over a websocket."""
+
+    KIND: typing.ClassVar[int] = 67
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Busy:
+    """Say that the budget for updates is spent until `retry_at` (ms)."""
+
+    KIND: typing.ClassVar[int] = 68
+    nonce: int
+    retry_at: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeFor:
+    """Ask another process to try a third one that does not answer."""
+
+    KIND: typing.ClassVar[int] = 69
+    name: str
+    address: Address
+
+
+Message = Beat | Pull | UpdateReply | TooLarge | Busy | ProbeFor
+
+CONTROL = codec.Codec("control", typing.get_args(Message))
+
+FIRST_KIND = min(CONTROL.by_kind)
+
+PackedInstance = tuple[str, Address, str, bool]
+PackedDelta = tuple[int, int, int, tuple[str, ...] | None]
+CHECK_UPDATE = codec.check_for(
+    tuple[
+        PackedDelta,
+        tuple[tuple[str, int, bytes | None], ...],
+        PackedDelta,
+        tuple[tuple[str, int, PackedInstance | None], ...],
+        tuple[tuple[int, str, tuple[str, ...]], ...],
+    ]
+)
+
+
+def make_pull(nonce: int, wanted: configuration.Wanted) -> Pull:
+    """Return the question for what `wanted` lacks."""
+    return Pull(nonce, wanted.digest.values, wanted.digest.instances, wanted.lacking)
+
+
+def wanted_of(pull: Pull) -> configuration.Wanted:
+    """Return what the asking process has."""
+    return configuration.Wanted(
+        configuration.Digest(pull.values, pull.instances), tuple(pull.lacking)
+    )
+
+
+def pack_statement(statement: membership.Statement) -> News:
+    """Return a statement as it goes over the wire."""
+    return (
+        statement.name,
+        statement.role,
+        statement.address,
+        statement.zone,
+        statement.generation,
+        int(statement.state),
+    )
+
+
+def unpack_statement(news: News) -> membership.Statement:
+    """Return the statement; raise `DatagramError` for an unknown state."""
+    try:
+        told = membership.State(news[5])
+    except ValueError as error:
+        raise errors.DatagramError(str(error), step="read news", peer=news[0]) from error
+    return membership.Statement(*news[:5], told)
+
+
+def pack_update(update: configuration.Update) -> bytes:
+    """Return an update as compressed CBOR."""
+    items = [
+        pack_head(update.values),
+        [[key, entry.revision, entry.value] for key, entry in update.values.entries],
+        pack_head(update.instances),
+        [[k, e.revision, pack_instance(e.value)] for k, e in update.instances.entries],
+        [[r.revision, r.key, r.faults] for r in update.refusals],
+    ]
+    return zlib.compress(cbor2.dumps(items), 6)
+
+
+def pack_head(delta: store.Delta) -> PackedDelta:
+    """Return all of a delta but its entries."""
+    return (delta.after, delta.complete, delta.floor, delta.names)
+
+
+def pack_instance(instance: assembly.Instance | None) -> PackedInstance | None:
+    """Return an instance as it goes over the wire; its name stands before it."""
+    if instance is None:
+        return None
+    return (instance.role, instance.address, instance.zone, instance.leaving)
+
+
+def unpack_update(data: bytes) -> configuration.Update:
+    """Return the update in `data`; raise `DatagramError` if it is damaged."""
+    try:
+        reader = zlib.decompressobj()
+        text = reader.decompress(data, MAX_UPDATE_BYTES)
+        if not reader.eof:
+            raise ValueError("cut short or too large")
+        items = codec.freeze(cbor2.loads(text))
+        if not CHECK_UPDATE(items):
+            raise ValueError("a field has a wrong type")
+    except Exception as error:
+        # The libraries raise many types for damaged input; each means the same to us.
+        raise errors.DatagramError(f"{error}", step="read update", peer="peer") from error
+    values_head, values, instances_head, instances, refusals = items
+    return configuration.Update(
+        unpack_delta(values_head, ((k, store.Entry(r, v)) for k, r, v in values)),
+        unpack_delta(
+            instances_head,
+            ((k, store.Entry(r, unpack_instance(k, i))) for k, r, i in instances),
+        ),
+        tuple(configuration.Refusal(*refusal) for refusal in refusals),
+    )
+
+
+def unpack_delta(
+    head: PackedDelta, entries: typing.Iterable[tuple[str, store.Entry]]
+) -> store.Delta:
+    """Return a delta of its head and entries."""
+    after, complete, floor, names = head
+    return store.Delta(after, complete, floor, tuple(entries), names)
+
+
+def unpack_instance(name: str, packed: PackedInstance | None) -> assembly.Instance | None:
+    """Return the instance called `name`."""
+    return assembly.Instance(name, *packed) if packed else None
