--- a/src/ebonystile/codec.py
+++ b/src/ebonystile/codec.py
@@ -71,10 +71,13 @@
             self.by_kind[message_type.KIND] = (message_type, checks)
             self.names[message_type] = tuple(fields)
 
+    def to_items(self, message: typing.Any) -> list[typing.Any]:
+        """Return the kind and the fields, as they stand in the array on the wire."""
+        return [message.KIND, *[getattr(message, name) for name in self.names[type(message)]]]
+
     def encode(self, message: typing.Any) -> bytes:
         """Return the message as one CBOR item."""
-        values = [getattr(message, name) for name in self.names[type(message)]]
-        return cbor2.dumps([message.KIND, *values])
+        return cbor2.dumps(self.to_items(message))
 
     def decode(self, data: bytes) -> typing.Any:
         """Return the message in `data`; raise `DatagramError` if it is not exactly one."""
--- /dev/null
+++ b/src/ebonystile/daemon/balancer.py
@@ -0,0 +1,94 @@
+"""Run a balancer: relay callers' datagrams to sidecars and their answers back."""
+
+import collections
+import random
+import secrets
+
+from ebonystile import clock, errors, logs, loop, settings
+from ebonystile.core import balancer, view
+from ebonystile.daemon import watch
+from ebonystile.peer import messages, seal
+
+QUIET_MS = 1_000
+"""A leaving balancer ends once no caller's datagram has come for this long, in ms."""
+
+
+class Daemon:
+    """The shell of one balancer."""
+
+    def __init__(self, config: settings.BalancerSettings):
+        self.config = config
+        self.incarnation = secrets.randbits(63)
+        self.core = balancer.make_balancer(config.address, random.Random(self.incarnation))
+        self.seal = seal.make_seal(config.keys, self.incarnation)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.loop = loop.Loop()
+        self.callers = self.loop.listen(config.listen, self.on_caller)
+        self.peers = self.loop.listen(config.address, self.on_peer)
+        self.leave_by = 0
+        self.heard_at = clock.now()
+        self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
+        self.loop.every(200, self.tick)
+        loop.on_signals(self.loop, self.leave)
+
+    def run(self) -> None:
+        """Run until the process has left."""
+        logs.event("started", listen=":".join(map(str, self.config.listen)))
+        self.loop.run()
+        self.watcher.stop()
+        logs.event("stopped", **self.counts)
+
+    def on_view(self, newer: view.View) -> None:
+        """Route by a newer view from now on."""
+        before = self.core.view.revision
+        if balancer.change_view(self.core, newer):
+            self.seal.revision = newer.revision
+            if newer.revision != before:
+                logs.event("configured", revision=newer.revision)
+
+    def on_caller(self, payload: bytes, caller: view.Address) -> None:
+        """Route a caller's datagram."""
+        self.heard_at = clock.now()
+        action = balancer.route(self.core, caller, payload, self.heard_at)
+        if type(action) is balancer.Relay:
+            body = messages.PACKET_PATH.to_items(action.forward)
+            loop.send(self.peers, self.seal.seal(body), action.address)
+            self.counts["relayed"] += 1
+        elif type(action) is balancer.Reply:
+            loop.send(self.callers, action.payload, action.caller)
+            self.counts["refused"] += 1
+        else:
+            self.counts["dropped_" + action.reason] += 1
+
+    def on_peer(self, data: bytes, source: view.Address) -> None:
+        """Relay a sidecar's answer to its caller."""
+        try:
+            message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
+        except errors.DatagramError as error:
+            self.counts["dropped_sealed"] += 1
+            logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
+            return
+        if type(message) is messages.Return:
+            loop.send(self.callers, message.payload, tuple(message.caller))
+            self.counts["returned"] += 1
+
+    def leave(self, reason: str) -> None:
+        """Go on relaying until the fabric hands over no more packets, or time is up."""
+        logs.event("leaving", reason=reason)
+        self.heard_at = clock.now()
+        self.leave_by = self.heard_at + self.config.drain_ms
+
+    def tick(self) -> None:
+        """End a leaving balancer whose work is done."""
+        if not self.leave_by:
+            return
+        now = clock.now()
+        if now >= self.leave_by or now - self.heard_at >= QUIET_MS:
+            self.loop.stop()
+
+
+def run(config: settings.BalancerSettings) -> None:
+    """Run a balancer until it is told to leave and has left."""
+    daemon = Daemon(config)
+    logs.setup("ebonystile-balancer", config.name, daemon.incarnation, config.log_level)
+    daemon.run()
--- /dev/null
+++ b/src/ebonystile/daemon/sidecar.py
@@ -0,0 +1,310 @@
+"""Run a sidecar: its core, the upstream beside it, and the sidecars that it hands flows to."""
+
+import collections
+import concurrent.futures
+import functools
+import itertools
+import random
+import secrets
+import typing
+
+from ebonystile import clock, errors, logs, loop, settings
+from ebonystile.core import effects, events, sidecar, state, view
+from ebonystile.daemon import server, watch
+from ebonystile.peer import bulk, messages, seal, transfer
+from ebonystile.upstream import client
+
+TRANSFER_PATH = "/transfer"
+TRANSFER_WAIT_MS = 2_000
+FEED_WAIT_MS = 1_000
+FEED_EVENTS = 256
+FEED_THREADS = 8
+BULK_THREADS = 4
+LINGER_MS = 2_000
+"""A drained sidecar still shows callers their flows' new homes for this long, in ms."""
+
+EXECUTOR_FAILED = "the executor failed"
+
+
+class Daemon:
+    """The shell of one sidecar."""
+
+    def __init__(self, config: settings.SidecarSettings):
+        self.config = config
+        self.incarnation = secrets.randbits(63)
+        now = clock.now()
+        self.core = sidecar.make_sidecar(
+            config.name,
+            self.incarnation,
+            make_limits(config),
+            random.Random(secrets.randbits(64)),
+            now,
+        )
+        self.seal = seal.make_seal(config.keys, self.incarnation)
+        self.bulk_seal = seal.make_seal(config.keys, self.incarnation)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.upstream = client.make_upstream(config.upstream, config.slots, clock.now)
+        self.runs = concurrent.futures.ThreadPoolExecutor(config.slots, "run")
+        self.polls = concurrent.futures.ThreadPoolExecutor(FEED_THREADS, "feed")
+        self.bulk = concurrent.futures.ThreadPoolExecutor(BULK_THREADS, "bulk")
+        self.control = concurrent.futures.ThreadPoolExecutor(2, "control")
+        self.handles = itertools.count(1)
+        self.replies: dict[int, concurrent.futures.Future] = {}
+        self.leave_by = 0
+        self.drained_at = 0
+        self.asking_health = False
+        self.loop = loop.Loop()
+        self.peers = self.loop.listen(config.address, self.on_peer)
+        self.server = server.serve(
+            config.address, {TRANSFER_PATH: self.on_transfer}, lambda: b"", healthy=self.healthy
+        )
+        self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
+        self.loop.every(events.TICK_MS, self.tick)
+        self.loop.every(config.health_poll_ms, self.ask_health)
+        loop.on_signals(self.loop, self.leave)
+
+    def run(self) -> None:
+        """Run until the process has left."""
+        logs.event("started", address=":".join(map(str, self.config.address)))
+        self.loop.run()
+        self.watcher.stop()
+        self.server.stop()
+        for pool in (self.runs, self.polls, self.bulk, self.control):
+            pool.shutdown(wait=False, cancel_futures=True)
+        self.upstream.close()
+        logs.event("stopped", **self.counts)
+
+    # What happens
+
+    def post(self, event: typing.Any) -> None:
+        """Let the owner thread give the core an event; for executors' threads."""
+        self.loop.post(functools.partial(self.take, event))
+
+    def take(self, event: typing.Any) -> None:
+        """Give the core an event and carry out what it decides."""
+        for effect in sidecar.decide(self.core, event, clock.now()):
+            carry_out(effect, self)
+
+    def on_peer(self, data: bytes, source: view.Address) -> None:
+        """Take a datagram from a balancer or another sidecar."""
+        try:
+            message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
+        except errors.DatagramError as error:
+            self.counts["dropped_sealed"] += 1
+            logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
+            return
+        if type(message) is messages.Forward:
+            self.take(events.Arrived(message))
+
+    def on_view(self, newer: view.View) -> None:
+        """Act by a newer view, or learn that the present one is still in force."""
+        self.seal.revision = max(self.seal.revision, newer.revision)
+        self.take(events.ViewChanged(newer))
+
+    def on_transfer(self, question: bytes) -> bytes:
+        """Answer a sidecar that hands a flow over; runs in a thread of the server."""
+        body = self.bulk_seal.open(question, replayable=True).body
+        message = transfer.TRANSFERS.from_items(body)
+        if not isinstance(message, transfer.Transfer):
+            raise errors.DatagramError("not a transfer", step="take transfer", peer="sidecar")
+        reply: concurrent.futures.Future = concurrent.futures.Future()
+        handle = next(self.handles)
+        self.replies[handle] = reply
+        self.post(events.TransferArrived(handle, message))
+        try:
+            return self.sealed_transfer(reply.result(TRANSFER_WAIT_MS / 1000))
+        except TimeoutError as error:
+            raise errors.PeerError("the core is busy", step="take transfer", peer="core") from error
+        finally:
+            self.replies.pop(handle, None)
+
+    def sealed_transfer(self, message: transfer.Transfer | transfer.TransferReply) -> bytes:
+        """Return a transfer or its reply as it travels."""
+        return self.bulk_seal.seal(transfer.TRANSFERS.to_items(message))
+
+    def healthy(self) -> bool:
+        """Whether the process takes new work, for `/healthz`."""
+        return not self.core.leaving
+
+    def tick(self) -> None:
+        """Let the core look at the time, and end a process that has left."""
+        self.take(events.Tick())
+        if not self.leave_by:
+            return
+        now = clock.now()
+        if not sidecar.drained(self.core):
+            self.drained_at = 0
+        elif not self.drained_at:
+            self.drained_at = now
+        if now >= self.leave_by or (self.drained_at and now - self.drained_at >= LINGER_MS):
+            self.loop.stop()
+
+    def leave(self, reason: str) -> None:
+        """Finish what runs, hand over what stays, then end."""
+        logs.event("leaving", reason=reason)
+        self.leave_by = clock.now() + self.config.drain_ms
+        self.take(events.Leave(reason))
+
+    def ask_health(self) -> None:
+        """Read whether the upstream drains by itself; its silence changes nothing."""
+        if not self.asking_health:
+            self.asking_health = True
+            self.control.submit(self.upstream.health).add_done_callback(self.on_health)
+
+    def on_health(self, future: concurrent.futures.Future) -> None:
+        """Leave when the upstream says that it drains."""
+        self.asking_health = False
+        if future.cancelled() or future.exception() is not None:
+            self.counts["health_failed"] += 1
+        elif future.result().draining and not self.core.leaving:
+            self.post(events.Leave("the upstream drains"))
+
+    # What is to be done
+
+    def hand_over_request(self, job: client.Job) -> client.Reply:
+        """Run a request at the upstream; see `effects.RunRequest` for the check of the deadline."""
+        if clock.now() >= job.deadline:
+            raise errors.UpstreamError(
+                "its deadline has passed",
+                step="run request",
+                peer=self.config.upstream,
+                may_have_run=False,
+            )
+        return self.upstream.run(job)
+
+    def on_run_done(self, key: tuple[bytes, bytes], future: concurrent.futures.Future) -> None:
+        """Tell the core how a request ended."""
+        error = future.exception()
+        if error is None:
+            reply = future.result()
+            self.post(events.Finished(key, reply.status, reply.body))
+        elif isinstance(error, errors.UpstreamError):
+            retry_at = error.retry_at or 0
+            self.post(events.Failed(key, error.reason, error.may_have_run, retry_at))
+        else:
+            logs.failure("run-failed", error)
+            self.post(events.Failed(key, EXECUTOR_FAILED, True))
+
+    def on_poll_done(self, effect: effects.PollFeed, future: concurrent.futures.Future) -> None:
+        """Give the core the events of a feed."""
+        if future.cancelled():
+            return
+        error = future.exception()
+        if error is None:
+            batch = tuple((e.position, e.body) for e in future.result())
+            self.post(events.FeedBatch(effect.path, effect.after, batch))
+        else:
+            self.post(events.FeedFailed(effect.path, str(error)))
+
+    def poll_feed(self, effect: effects.PollFeed) -> list[client.Event]:
+        """Ask the upstream for the next events of a feed."""
+        wait_until = clock.now() + FEED_WAIT_MS
+        return self.upstream.events(
+            effect.path, effect.after, FEED_EVENTS, wait_until, service=effect.service
+        )
+
+    def send_transfer(self, effect: effects.SendTransfer) -> transfer.TransferReply:
+        """Send a flow to another sidecar and return its reply."""
+        question = self.sealed_transfer(effect.transfer)
+        wait_until = clock.now() + TRANSFER_WAIT_MS
+        answer = bulk.exchange(effect.address, TRANSFER_PATH, question, wait_until)
+        body = self.bulk_seal.open(answer, replayable=True).body
+        reply = transfer.TRANSFERS.from_items(body)
+        if not isinstance(reply, transfer.TransferReply):
+            raise errors.DatagramError("not a reply", step="hand over", peer="sidecar")
+        return reply
+
+    def on_transfer_done(self, sent: transfer.Transfer, future: concurrent.futures.Future) -> None:
+        """Tell the core what became of a transfer."""
+        if future.cancelled():
+            return
+        error = future.exception()
+        if error is None:
+            self.post(events.TransferAnswered(sent.flow, future.result()))
+            return
+        if not isinstance(error, errors.EbonystileError):
+            logs.failure("transfer-failed", error)
+        self.post(events.TransferFailed(sent.flow, sent.id, str(error)))
+
+
+@functools.singledispatch
+def carry_out(effect: typing.Any, daemon: Daemon) -> None:
+    """Do what the core asks for."""
+    raise TypeError(f"no way to carry out {type(effect).__name__}")
+
+
+@carry_out.register
+def _(effect: effects.ToCaller, daemon):
+    body = messages.PACKET_PATH.to_items(messages.Return(effect.caller, effect.payload))
+    loop.send(daemon.peers, daemon.seal.seal(body), effect.balancer)
+
+
+@carry_out.register
+def _(effect: effects.ToSidecar, daemon):
+    body = messages.PACKET_PATH.to_items(effect.forward)
+    loop.send(daemon.peers, daemon.seal.seal(body), effect.address)
+
+
+@carry_out.register
+def _(effect: effects.RunRequest, daemon):
+    job = client.Job(
+        effect.key[1], effect.service, effect.path, effect.body, effect.deadline, effect.idempotent
+    )
+    future = daemon.runs.submit(daemon.hand_over_request, job)
+    future.add_done_callback(functools.partial(daemon.on_run_done, effect.key))
+
+
+@carry_out.register
+def _(effect: effects.CancelRequest, daemon):
+    daemon.control.submit(daemon.upstream.cancel, effect.key[1])
+
+
+@carry_out.register
+def _(effect: effects.PollFeed, daemon):
+    future = daemon.polls.submit(daemon.poll_feed, effect)
+    future.add_done_callback(functools.partial(daemon.on_poll_done, effect))
+
+
+@carry_out.register
+def _(effect: effects.SendTransfer, daemon):
+    future = daemon.bulk.submit(daemon.send_transfer, effect)
+    future.add_done_callback(functools.partial(daemon.on_transfer_done, effect.transfer))
+
+
+@carry_out.register
+def _(effect: effects.AnswerTransfer, daemon):
+    future = daemon.replies.get(effect.handle)
+    if future is not None and not future.done():
+        future.set_result(effect.reply)
+
+
+@carry_out.register
+def _(effect: effects.Trace, daemon):
+    daemon.counts[effect.event] += 1
+    fields = dict(effect.fields)
+    if effect.flow:
+        fields["flow"] = effect.flow
+    if effect.request:
+        fields["request"] = effect.request
+    logs.event(effect.event.replace("_", "-"), level="DEBUG", **fields)
+
+
+def make_limits(config: settings.SidecarSettings) -> state.Limits:
+    """Return the core's bounds as the settings give them."""
+    return state.Limits(
+        slots=config.slots,
+        queue=config.queue_limit,
+        flows=config.flow_limit,
+        ledger=config.ledger_limit,
+        upload_bytes=config.ledger_bytes_limit,
+        flow_lease=config.flow_lease_ms,
+        ledger_margin=config.ledger_margin_ms,
+        max_deadline=config.max_deadline_ms,
+    )
+
+
+def run(config: settings.SidecarSettings) -> None:
+    """Run a sidecar until it is told to leave and has left."""
+    daemon = Daemon(config)
+    logs.setup("ebonystile-sidecar", config.name, daemon.incarnation, config.log_level)
+    daemon.run()
--- /dev/null
+++ b/src/ebonystile/loop.py
@@ -0,0 +1,166 @@
+"""Run one thread that owns a decision core: it drains sockets and an inbox, in order of arrival.
+
+Everything that blocks runs in executors; their callbacks post to the inbox. So no core is ever
+touched by two threads, and no lock is needed around one.
+"""
+
+import collections
+import dataclasses
+import selectors
+import signal
+import socket
+import typing
+from collections import abc
+
+from ebonystile import clock, errors, logs
+from ebonystile.core import view
+
+RECEIVE_BYTES = 65_535
+BATCH = 64
+"""Datagrams taken from one socket before the next one and the inbox get their turn."""
+
+BUFFER_BYTES = 8 << 20
+"""Socket buffer asked for, in bytes; the kernel may give less."""
+
+
+@dataclasses.dataclass(slots=True)
+class Timer:
+    """Something to do every `period` ms, next at `due`."""
+
+    due: int
+    period: int
+    action: abc.Callable[[], None]
+
+
+class Loop:
+    """The loop of an owner thread; only `post` may be called from other threads."""
+
+    def __init__(self):
+        self.selector = selectors.DefaultSelector()
+        self.inbox: collections.deque[abc.Callable[[], None]] = collections.deque()
+        self.timers: list[Timer] = []
+        self.running = True
+        self.waker, self.woken = socket.socketpair()
+        self.waker.setblocking(False)
+        self.woken.setblocking(False)
+        self.selector.register(self.woken, selectors.EVENT_READ, self.on_woken)
+
+    def post(self, action: abc.Callable[[], None]) -> None:
+        """Let the owner thread do something soon."""
+        self.inbox.append(action)
+        try:
+            self.waker.send(b"\0")
+        except OSError:
+            # A full pipe means that the thread is to wake up anyway; a closed one, that it ended.
+            pass
+
+    def every(self, period: int, action: abc.Callable[[], None]) -> None:
+        """Do something every `period` ms from now on."""
+        self.timers.append(Timer(clock.now() + period, period, action))
+
+    def listen(
+        self, address: view.Address, on_datagram: abc.Callable[[bytes, view.Address], None]
+    ) -> socket.socket:
+        """Return a UDP socket bound to `address` whose datagrams go to `on_datagram`."""
+        udp = make_socket(address)
+        self.selector.register(udp, selectors.EVENT_READ, lambda: drain(udp, on_datagram))
+        return udp
+
+    def on_woken(self) -> None:
+        """Empty the waking pipe."""
+        try:
+            self.woken.recv(4096)
+        except OSError:
+            pass
+
+    def run(self) -> None:
+        """Run until `stop`."""
+        while self.running:
+            self.step()
+        for key in list(self.selector.get_map().values()):
+            if key.fileobj is not self.woken:
+                key.fileobj.close()
+        self.selector.close()
+        self.waker.close()
+        self.woken.close()
+
+    def step(self) -> None:
+        """Wait for the next thing to do and do it."""
+        for key, _ in self.selector.select(self.seconds_to_timer()):
+            key.data()
+        for _ in range(len(self.inbox)):
+            self.inbox.popleft()()
+        now = clock.now()
+        for timer in self.timers:
+            if timer.due <= now:
+                timer.due = now + timer.period
+                timer.action()
+
+    def seconds_to_timer(self) -> float | None:
+        """Return how long nothing is due."""
+        if self.inbox:
+            return 0
+        if not self.timers:
+            return None
+        return clock.seconds_until(min(timer.due for timer in self.timers))
+
+    def stop(self) -> None:
+        """End the loop after the present step."""
+        self.running = False
+
+
+def make_socket(address: view.Address) -> socket.socket:
+    """Return a bound UDP socket; raise `PeerError` where that can't be had."""
+    udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    udp.setblocking(False)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        udp.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+    try:
+        udp.bind(address)
+    except OSError as error:
+        udp.close()
+        peer = f"{address[0]}:{address[1]}"
+        reason = error.strerror or str(error)
+        raise errors.PeerError(reason, step="listen on UDP", peer=peer) from error
+    return udp
+
+
+def drain(udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]) -> None:
+    """Take a batch of datagrams from a socket.
+
+    The kernel reports a past send's ICMP error on the next receive; it says nothing about this
+    socket, so it is passed over.
+    """
+    for _ in range(BATCH):
+        try:
+            data, source = udp.recvfrom(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            continue
+        on_datagram(data, source)
+
+
+def send(udp: socket.socket, data: bytes, address: view.Address) -> bool:
+    """Send a datagram; False if the kernel would not take it, which counts as loss on the way."""
+    try:
+        udp.sendto(data, address)
+    except (OSError, OverflowError):
+        return False
+    return True
+
+
+def on_signals(loop: Loop, leave: abc.Callable[[str], None]) -> None:
+    """Leave gracefully at the first SIGTERM or SIGINT; note later ones, which change nothing."""
+    noted: list[str] = []
+
+    def handle(number: int, _frame: typing.Any) -> None:
+        name = signal.Signals(number).name
+        if noted:
+            loop.post(lambda: logs.event("signal-again", signal=name))
+            return
+        noted.append(name)
+        loop.post(lambda: leave(name))
+
+    signal.signal(signal.SIGTERM, handle)
+    signal.signal(signal.SIGINT, handle)
--- a/src/ebonystile/peer/seal.py
+++ b/src/ebonystile/peer/seal.py
@@ -92,8 +92,12 @@
         state.update(content)
         return self.key_id + state.digest() + content
 
-    def open(self, data: bytes) -> Opened:
-        """Return what `data` says; raise `DatagramError` if it is forged, damaged or replayed."""
+    def open(self, data: bytes, *, replayable: bool = False) -> Opened:
+        """Return what `data` says; raise `DatagramError` if it is forged, damaged or replayed.
+
+        `replayable` skips the last check, for bulk exchanges: those travel over TCP and may be
+        held up there behind more datagrams than the window holds. All of them are idempotent.
+        """
         if len(data) <= HEADER_BYTES:
             raise self.fault("too short")
         known = self.states.get(data[0])
@@ -110,7 +114,7 @@
             raise self.fault(f"not an envelope: {error}") from error
         if not (type(incarnation) is type(sequence) is type(revision) is int):
             raise self.fault("not an envelope")
-        if not self.window_of(incarnation).accept(sequence):
+        if not replayable and not self.window_of(incarnation).accept(sequence):
             raise self.fault("replayed")
         return Opened(incarnation, revision, body)
 
@@ -128,3 +132,8 @@
     def fault(self, reason: str) -> errors.DatagramError:
         """Return the error for a datagram that does not open."""
         return errors.DatagramError(reason, step="open datagram", peer="peer")
+
+
+def make_seal(keys: typing.Iterable[typing.Any], incarnation: int) -> Seal:
+    """Return a seal for keys with `id` and `secret`, the first of which seals."""
+    return Seal([Key(key.id, key.secret) for key in keys], incarnation)
