--- a/src/ebonystile/platform/client.py
+++ b/src/ebonystile/platform/client.py
@@ -29,8 +29,10 @@
 Name = typing.Annotated[str, pydantic.Field(min_length=1, max_length=256)]
 
 
-def parse_address(text: str) -> view.Address:
+def parse_address(text: typing.Any) -> view.Address:
     """Return the address that `ip:port` stands for; raise ValueError for anything else."""
+    if type(text) is not str:
+        raise ValueError("an address is a text")
     host, _, port = text.rpartition(":")
     if not (port.isascii() and port.isdecimal() and 0 < int(port) < 1 << 16):
         raise ValueError("an address is ip:port")
--- /dev/null
+++ b/tests/platform/test_platform_client.py
@@ -0,0 +1,89 @@
+"""Check that the client believes no answer of the platform that does not hold together."""
+
+import json
+
+import pytest
+
+from ebonystile import errors
+from ebonystile.platform import client
+from standins import web
+
+INSTANCE = {
+    "name": "line-1",
+    "role": "upstream",
+    "address": "127.0.0.1:4001",
+    "zone": "umea",
+    "state": "live",
+}
+
+
+@pytest.fixture
+def canned(serve):
+    """Return a function that serves one fixed answer and returns a client for it."""
+    return lambda answer: client.make_platform(serve(answer))
+
+
+def values(revision, *revisions, more=False):
+    """Return an answer to a watch whose values have these revisions."""
+    entries = [{"key": f"labels/{n}", "revision": n, "value": {}} for n in revisions]
+    return json.dumps({"revision": revision, "values": entries, "more": more}).encode()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"null",
+        b"\xff\xfe",
+        b"[" * 100_000,
+        b"{}",
+        b'{"revision": "5", "values": [], "more": false}',
+        b'{"revision": -1, "values": [], "more": false}',
+        b'{"revision": 5, "values": [{}], "more": false}',
+        b'{"revision": 99999999999999999999, "values": [], "more": false}',
+        values(9, 8, 7),
+        values(9, 7, 7),
+        values(9, 10),
+        values(9, 3),
+        values(4, more=True),
+        b" " * (client.MAX_ANSWER + 1),
+    ],
+)
+def test_bad_watches_are_one_typed_error(canned, body):
+    with pytest.raises(errors.PlatformError):
+        canned(web.Answer(200, body)).watch(5, 0)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"role": "cache"},
+        {"state": "asleep"},
+        {"address": "line-1:4001"},
+        {"address": "127.0.0.1:0"},
+        {"address": "127.0.0.1:70000"},
+        {"address": 4001},
+        {"name": ""},
+        {"zone": None},
+    ],
+)
+def test_bad_instances_are_one_typed_error(canned, change):
+    entry = {**INSTANCE, **change}
+    body = json.dumps({"revision": 1, "instances": [entry], "more": False}).encode()
+    with pytest.raises(errors.PlatformError):
+        canned(web.Answer(200, body)).instances(0, 0)
+
+
+def test_good_answers_pass(canned):
+    watched = canned(web.Answer(200, values(9, 6, 8))).watch(5, 0)
+    assert [entry.revision for entry in watched.entries] == [6, 8]
+    entry = {**INSTANCE, "added later": 1}
+    body = json.dumps({"revision": 1, "instances": [entry], "more": False}).encode()
+    listed = canned(web.Answer(200, body)).instances(0, 0)
+    assert listed.entries[0].address == ("127.0.0.1", 4001)
+
+
+@pytest.mark.parametrize("answer", [web.Answer(500), web.Answer(302), web.Answer(cut=True)])
+def test_other_statuses_and_cut_connections_are_errors(canned, answer):
+    with pytest.raises(errors.PlatformError):
+        canned(answer).watch(0, 0)
