Serve the thin path through real processes

Cause: nothing ran end to end. Change: commands for balancer and sidecar, a system of real processes for tests, and two process tests: requests, uploads, answers in parts and feeds; SIGTERM of the sidecar that holds a live feed.

--- /dev/null
+++ b/src/ebonystile/commands/sidecar.py
@@ -0,0 +1,32 @@
+"""Start the sidecar: `ebonystile-sidecar --settings FILE`."""
+
+import sys
+
+import click
+
+import ebonystile
+from ebonystile import errors, settings
+from ebonystile.daemon import sidecar
+
+EXIT_SETTINGS = 2
+EXIT_FAILURE = 1
+
+
+@click.command()
+@click.option("--settings", "path", required=True, help="Settings file: JSON with comments.")
+@click.version_option(ebonystile.__version__)
+def main(path: str) -> None:
+    """Run one sidecar until SIGTERM, then leave gracefully."""
+    try:
+        sidecar.run(settings.read_sidecar(path))
+    except errors.SettingsError as error:
+        for fault in error.faults:
+            click.echo(f"{path}: {fault}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    except errors.EbonystileError as error:
+        click.echo(str(error), err=True)
+        sys.exit(EXIT_FAILURE)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -6,7 +6,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import balancer, view
-from ebonystile.daemon import watch
+from ebonystile.daemon import server, watch
 from ebonystile.peer import messages, seal
 
 QUIET_MS = 1_000
@@ -27,6 +27,7 @@
         self.peers = self.loop.listen(config.address, self.on_peer)
         self.leave_by = 0
         self.heard_at = clock.now()
+        self.server = server.serve(config.address, {}, lambda: b"", healthy=self.healthy)
         self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
         self.loop.every(200, self.tick)
         loop.on_signals(self.loop, self.leave)
@@ -36,8 +37,13 @@
         logs.event("started", listen=":".join(map(str, self.config.listen)))
         self.loop.run()
         self.watcher.stop()
+        self.server.stop()
         logs.event("stopped", **self.counts)
 
+    def healthy(self) -> bool:
+        """Whether the balancer has a configuration and is not leaving, for `/healthz`."""
+        return self.core.view.revision > 0 and not self.leave_by
+
     def on_view(self, newer: view.View) -> None:
         """Route by a newer view from now on."""
         before = self.core.view.revision
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -123,8 +123,8 @@
         return self.bulk_seal.seal(transfer.TRANSFERS.to_items(message))
 
     def healthy(self) -> bool:
-        """Whether the process takes new work, for `/healthz`."""
-        return not self.core.leaving
+        """Whether the process has a configuration and takes new work, for `/healthz`."""
+        return self.core.view.revision > 0 and not self.core.leaving
 
     def tick(self) -> None:
         """Let the core look at the time, and end a process that has left."""
--- /dev/null
+++ b/standins/system.py
@@ -0,0 +1,141 @@
+"""Start the system's own processes on loopback, beside stand-ins, for tests and the demo."""
+
+import contextlib
+import json
+import pathlib
+import secrets
+import socket
+import tempfile
+import time
+import typing
+
+import urllib3
+
+from standins import processes
+
+HTTP = urllib3.PoolManager(retries=False, timeout=2.0)
+READY_S = 30
+POLL_S = 0.05
+
+
+def free_port() -> int:
+    """Return a port that is free for UDP and TCP at this moment."""
+    while True:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            with (
+                contextlib.suppress(OSError),
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            ):
+                udp.bind(("127.0.0.1", port))
+                return port
+
+
+class System:
+    """The processes of one run: a platform, balancers, and upstreams with their sidecars."""
+
+    def __init__(self, children: processes.Children, *platform_arguments: object):
+        self.children = children
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonystile-"))
+        self.platform = children.start_platform(*platform_arguments)
+        self.key = secrets.token_hex(32)
+        self.balancers: dict[str, Balancer] = {}
+        self.labels: dict[str, dict[str, str]] = {}
+
+    def publish_services(self, selectors: dict[str, dict[str, str]]) -> None:
+        """Publish services with their selectors."""
+        services = {
+            name: {"address": f"10.1.0.{number}:443", "selector": selector}
+            for number, (name, selector) in enumerate(selectors.items(), 1)
+        }
+        processes.publish_value(self.platform, "services/00", {"services": services})
+
+    def label(self, name: str, labels: dict[str, str] | None) -> None:
+        """Publish an instance's labels; None removes them."""
+        self.labels.pop(name, None)
+        if labels is not None:
+            self.labels[name] = labels
+        processes.publish_value(self.platform, "labels/00", {"instances": self.labels})
+
+    def enlist(self, name: str, role: str, port: int, zone: str, state: str = "live") -> None:
+        """Put an instance into the platform's list."""
+        processes.publish_instance(self.platform, name, role, f"127.0.0.1:{port}", zone, state)
+
+    def settings(self, name: str, port: int, zone: str, **extra: typing.Any) -> pathlib.Path:
+        """Write a settings file and return its path."""
+        document = {
+            "name": name,
+            "zone": zone,
+            "address": f"127.0.0.1:{port}",
+            "platform": self.platform.url,
+            "keys": [{"id": 1, "secret": self.key}],
+            **extra,
+        }
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(document))
+        return path
+
+    def start_balancer(self, name: str, zone: str, **extra: typing.Any) -> "Balancer":
+        """Start a balancer and list it."""
+        balancer = Balancer(name, zone, free_port(), free_port())
+        path = self.settings(
+            name, balancer.port, zone, listen=f"127.0.0.1:{balancer.listen}", **extra
+        )
+        module = "ebonystile.commands.balancer"
+        balancer.child = self.children.launch(name, module, "--settings", path)
+        self.enlist(name, "balancer", balancer.port, zone)
+        wait_healthy(balancer.child, balancer.port)
+        self.balancers[name] = balancer
+        return balancer
+
+    def start_sidecar(
+        self, name: str, zone: str, upstream: processes.Child, **extra: typing.Any
+    ) -> "Sidecar":
+        """Start a sidecar beside an upstream and list it."""
+        sidecar = Sidecar(name, zone, free_port(), upstream)
+        path = self.settings(name, sidecar.port, zone, upstream=upstream.url, **extra)
+        module = "ebonystile.commands.sidecar"
+        sidecar.child = self.children.launch(name, module, "--settings", path)
+        self.enlist(name, "upstream", sidecar.port, zone)
+        wait_healthy(sidecar.child, sidecar.port)
+        return sidecar
+
+    def addresses(self) -> list[tuple[str, int]]:
+        """Return where the fabric hands packets: every balancer that takes them now."""
+        return [("127.0.0.1", b.listen) for b in self.balancers.values()]
+
+
+class Balancer:
+    """A running balancer."""
+
+    def __init__(self, name: str, zone: str, port: int, listen: int):
+        self.name = name
+        self.zone = zone
+        self.port = port
+        self.listen = listen
+        self.child: processes.Child
+
+
+class Sidecar:
+    """A running sidecar with its upstream."""
+
+    def __init__(self, name: str, zone: str, port: int, upstream: processes.Child):
+        self.name = name
+        self.zone = zone
+        self.port = port
+        self.upstream = upstream
+        self.child: processes.Child
+
+
+def wait_healthy(child: processes.Child, port: int) -> None:
+    """Wait until a process says that it is configured; raise if it ends or takes too long."""
+    give_up = time.monotonic() + READY_S
+    while time.monotonic() < give_up:
+        if child.popen.poll() is not None:
+            raise RuntimeError(f"{child.name} ended with status {child.popen.returncode}")
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            if HTTP.request("GET", f"http://127.0.0.1:{port}/healthz").status == 200:
+                return
+        time.sleep(POLL_S)
+    raise RuntimeError(f"{child.name} was not ready in {READY_S} s")
--- /dev/null
+++ b/tests/test_system.py
@@ -0,0 +1,61 @@
+"""Follow callers through real processes: platform, balancers, sidecars and upstreams."""
+
+import pytest
+
+from ebonystile import clock
+from ebonystile.caller import client
+from standins import system
+
+ZONE = "caudan"
+
+
+@pytest.fixture
+def running(children):
+    """Run a ledger of two upstreams behind three balancers, and a caller."""
+    made = system.System(children)
+    made.publish_services({"ledger": {"app": "ledger"}})
+    made.sidecars = []
+    for number in range(2):
+        upstream = children.start_upstream(f"ledger-{number}", "ledger")
+        made.label(f"ledger-{number}", {"app": "ledger"})
+        made.sidecars.append(made.start_sidecar(f"ledger-{number}", ZONE, upstream))
+    for number in range(3):
+        made.start_balancer(f"entry-{number}", ZONE)
+    made.caller = client.make_caller(made.addresses)
+    yield made
+    made.caller.close()
+
+
+def soon(ms=15_000):
+    return clock.now() + ms
+
+
+def test_requests_uploads_answers_and_feeds(running):
+    flow = running.caller.open("ledger", soon())
+    answer = flow.request("demands", b"offset 12", soon(), idempotent=False)
+    assert answer.status == 200
+    upload = flow.request("dossiers", bytes(300_000), soon(), idempotent=True)
+    assert upload.status == 200
+    whole = flow.request("answers/100000", b"", soon(), idempotent=True)
+    assert len(whole.body) == 100_000
+    feed = flow.subscribe("balances")
+    assert [feed.next(soon()).position for _ in range(5)] == [1, 2, 3, 4, 5]
+
+
+def test_sigterm_of_a_sidecar_moves_its_flow(running):
+    """The sidecar that holds the flow is told to stop while a feed and demands go on.
+
+    It finishes, hands the flow to its sibling and ends with status 0; the caller's feed goes on
+    without a gap, and demands are answered before and after.
+    """
+    flow = running.caller.open("ledger", soon())
+    feed = flow.subscribe("balances")
+    first = feed.next(soon()).position
+    flow.request("demands", b"1", soon(), idempotent=False)
+    runs = [s.upstream.get("standin/runs")["runs"] for s in running.sidecars]
+    home = running.sidecars[0 if runs[0] else 1]
+    home.child.signal(15)
+    assert home.child.wait() == 0
+    assert flow.request("demands", b"2", soon(), idempotent=False).status == 200
+    positions = [feed.next(soon()).position for _ in range(20)]
+    assert positions == list(range(first + 1, first + 21))
