Report events, metrics and answers of a process by one module; order handovers in the time line

Traces of a handover carry its transfer id, so that the time line shows fenced, adopted and handed over in this order however far the two clocks are apart.

--- a/src/ebonystile/core/handover.py
+++ b/src/ebonystile/core/handover.py
@@ -49,7 +49,7 @@
         target,
         now + home.limits.handover_deadline,
     )
-    home.trace("fenced", flow.id, target=target.name)
+    home.trace("fenced", flow.id, target=target.name, transfer=flow.handover.id)
     send(home, flow, now)
 
 
@@ -136,13 +136,14 @@
 
 def complete(home: state.State, flow: flows.Flow) -> None:
     """Turn the flow into a signpost to its new home."""
+    transfer_id = flow.handover.id
     flow.moved_to = flow.handover.target
     flow.handover = None
     flow.feeds.clear()
     for entry in home.ledger.of_flow(flow.id):
         home.ledger.remove(entry)
     home.handovers_done += 1
-    home.trace("handed_over", flow.id, target=flow.moved_to.name)
+    home.trace("handed_over", flow.id, target=flow.moved_to.name, transfer=transfer_id)
 
 
 def restart_with_doubt(home: state.State, flow: flows.Flow, incarnation: int, now: int) -> None:
@@ -253,7 +254,7 @@
     for record in message.records:
         adopt_record(home, flow, record)
     home.accepted_transfers[message.id] = message.deadline
-    home.trace("adopted", flow.id, service=flow.service)
+    home.trace("adopted", flow.id, service=flow.service, transfer=message.id)
     home.tell(flow, caller_messages.Moved(flow.id, flow.token, flow.lease_until))
 
 
--- /dev/null
+++ b/src/ebonystile/daemon/reporting.py
@@ -0,0 +1,144 @@
+"""Report what a process does: to its log, its time line, its metrics and to operators."""
+
+import collections
+import functools
+import typing
+from collections import abc
+from concurrent import futures
+
+from ebonystile import clock, logs, loop, metrics, timeline
+from ebonystile.core import balancer, state
+from ebonystile.daemon import answers, operator
+from ebonystile.operator import messages
+
+LAG_MS = 250
+"""How often the owner thread's lag is measured, in ms."""
+
+TRANSFER_FIELD = "transfer"
+TRANSFER_STEPS = {"fenced": 0, "adopted": 1, "handed_over": 2}
+"""The events of one handover in the order of cause and effect, over two processes."""
+
+DETAIL = "DEBUG"
+"""Level of what happens to single flows and requests; the time line has it at any level."""
+
+
+class Reporter:
+    """The log, the time line, the metrics and the operators' answers of one process.
+
+    Everything but `handlers` and `metrics.text` belongs to the owner thread.
+    """
+
+    def __init__(
+        self,
+        identity: answers.Identity,
+        core: balancer.Balancer | state.State,
+        owner: loop.Loop,
+        counts: collections.Counter[str],
+        event_limit: int,
+        surroundings: abc.Callable[[], answers.Surroundings],
+    ):
+        self.identity = identity
+        self.core = core
+        self.owner = owner
+        self.counts = counts
+        self.surroundings = surroundings
+        self.ring = timeline.make_ring(
+            identity.name, identity.role, identity.incarnation, event_limit
+        )
+        self.metrics = metrics.make_metrics()
+        self.metrics.tally("events", "Events by their names.", counts, "event")
+        self.lag = self.metrics.latency("loop_lag_seconds", "Lag of the thread that decides.")
+        self.lag_due = clock.now() + LAG_MS
+        add_gauges(core, self.metrics)
+        owner.every(LAG_MS, self.measure_lag)
+
+    def event(
+        self,
+        name: str,
+        *,
+        level: str = "INFO",
+        flow: bytes = b"",
+        request: bytes = b"",
+        **fields: typing.Any,
+    ) -> None:
+        """Count an event, log it and put it into the time line."""
+        self.counts[name] += 1
+        ids = {key: value for key, value in (("flow", flow), ("request", request)) if value}
+        logs.event(name.replace("_", "-"), level=level, **ids, **fields)
+        link = fields.pop(TRANSFER_FIELD, b"")
+        self.ring.add(
+            clock.now(),
+            name.replace("_", "-"),
+            flow=flow,
+            request=request,
+            upstream=upstream_of(self.identity),
+            link=link,
+            step=TRANSFER_STEPS.get(name, 0) if link else 0,
+            fields=tuple((key, logs.text_of(value)) for key, value in fields.items()),
+        )
+
+    def handlers(self, keys: abc.Iterable[typing.Any]) -> dict[str, operator.Handler]:
+        """Return what the TCP server needs to answer operators."""
+        handler = operator.make_handler(keys, self.identity.incarnation, self.ask)
+        return {messages.PATH: handler}
+
+    def ask(self, question: messages.Question) -> futures.Future[messages.Answer]:
+        """Have the owner thread answer a question; may be called from any thread."""
+        future: futures.Future[messages.Answer] = futures.Future()
+        self.owner.post(functools.partial(self.answer, question, future))
+        return future
+
+    def answer(self, question: messages.Question, future: futures.Future) -> None:
+        """Answer a question unless nobody waits for it any more."""
+        if not future.set_running_or_notify_cancel():
+            return
+        try:
+            future.set_result(answers.answer(question, self.subject()))
+        except Exception as error:
+            # The asking thread reports it; the owner thread must go on routing packets.
+            future.set_exception(error)
+
+    def subject(self) -> answers.Subject:
+        """Return the process as it is at this moment."""
+        return answers.Subject(
+            self.core, self.identity, self.surroundings(), self.ring, clock.now()
+        )
+
+    def measure_lag(self) -> None:
+        """Record by how much the owner thread is behind its timer."""
+        now = clock.now()
+        self.lag.record(now, now - self.lag_due)
+        self.lag_due = now + LAG_MS
+
+
+@functools.singledispatch
+def add_gauges(core: balancer.Balancer | state.State, held: metrics.Metrics) -> None:
+    """Expose the sizes of a core; each read is one step, so another thread may do it."""
+    held.gauge("revision", "Revision of the documents in force.", lambda: core.view.revision)
+
+
+@add_gauges.register
+def _(core: state.State, held: metrics.Metrics) -> None:
+    add_gauges.dispatch(object)(core, held)
+    held.gauge("flows", "Flows known, those handed over included.", lambda: len(core.flows))
+    held.gauge("running", "Requests that run.", lambda: len(core.slots.running))
+    held.gauge("queued", "Requests that wait for a slot.", lambda: len(core.slots.queue))
+    held.gauge("ledger", "Requests remembered.", lambda: len(core.ledger.entries))
+    held.gauge("leaving", "1 while the process takes no new work.", lambda: bool(core.leaving))
+
+
+def upstream_of(identity: answers.Identity) -> str:
+    """Return the upstream that a process's events are about."""
+    return identity.name if identity.role == answers.SIDECAR else ""
+
+
+def make_reporter(
+    identity: answers.Identity,
+    core: balancer.Balancer | state.State,
+    owner: loop.Loop,
+    counts: collections.Counter[str],
+    event_limit: int,
+    surroundings: abc.Callable[[], answers.Surroundings] = answers.Surroundings,
+) -> Reporter:
+    """Return the reporter of one process; `surroundings` is read whenever operators ask."""
+    return Reporter(identity, core, owner, counts, event_limit, surroundings)
--- a/src/ebonystile/metrics.py
+++ b/src/ebonystile/metrics.py
@@ -77,10 +77,18 @@
     read: abc.Callable[[], float]
 
 
-Holder = Counter | Latency | Gauge
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tally:
+    """Counts by name, in a mapping that its owner goes on changing."""
+
+    counts: abc.Mapping[str, int]
+    label: str
+
+
+Holder = Counter | Latency | Gauge | Tally
 Labels = tuple[tuple[str, str], ...]
 
-KINDS = {Counter: "counter", Latency: "summary", Gauge: "gauge"}
+KINDS = {Counter: "counter", Latency: "summary", Gauge: "gauge", Tally: "counter"}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +121,10 @@
         """Expose what `read` returns; it must be safe to call from another thread."""
         return self.hold(name, help, labels, Gauge(read))
 
+    def tally(self, name: str, help: str, counts: abc.Mapping[str, int], label: str) -> Tally:
+        """Expose a mapping of counts, its keys as the values of one label."""
+        return self.hold(name, help, {}, Tally(counts, label))
+
     def hold(self, name: str, help: str, labels: dict[str, str], holder: Holder) -> typing.Any:
         """Return the holder of one series, which is `holder` itself where the series is new."""
         kind = KINDS[type(holder)]
@@ -145,6 +157,13 @@
     metric.add_sample(metric.name + "_total", labels, holder.value)
 
 
+@add_samples.register
+def _(holder: Tally, metric: prometheus_core.Metric, labels: dict[str, str]) -> None:
+    # The copy is one step for other threads; a loop over the mapping itself could meet a change.
+    for name, value in sorted(dict(holder.counts).items()):
+        metric.add_sample(metric.name + "_total", {**labels, holder.label: name}, value)
+
+
 @add_samples.register
 def _(holder: Gauge, metric: prometheus_core.Metric, labels: dict[str, str]) -> None:
     metric.add_sample(metric.name, labels, holder.read())
--- a/src/ebonystile/timeline.py
+++ b/src/ebonystile/timeline.py
@@ -2,8 +2,8 @@
 
 No process has a disk, so each keeps its last events in a bounded ring and gives them to operators
 who ask. The merge orders by time, and repairs that order where it is known to be wrong: two
-records of one process keep its own sequence, and a record that follows from a message never comes
-before the record of sending it, however far the two clocks are apart (Lamport, "Time, clocks, and
+records of one process keep its own sequence, and a record that follows from one of another process
+never comes before it, however far the two clocks are apart (Lamport, "Time, clocks, and
 the ordering of events in a distributed system", 1978).
 """
 
@@ -21,8 +21,8 @@
 class Record:
     """One event of one process; `time` is in ms by that process's clock.
 
-    `link` is the id of a message that ties records of two processes together, empty where there
-    is none; `follows` tells the receiver's record from the sender's.
+    `link` is the id of an exchange that ties records of several processes together, empty where
+    there is none; within it a record of a higher `step` follows from those of lower ones.
     """
 
     KIND: typing.ClassVar[int] = 1
@@ -36,7 +36,7 @@
     request: bytes = b""
     upstream: str = ""
     link: bytes = b""
-    follows: bool = False
+    step: int = 0
     fields: Fields = ()
 
 
@@ -81,7 +81,7 @@
         request: bytes = b"",
         upstream: str = "",
         link: bytes = b"",
-        follows: bool = False,
+        step: int = 0,
         fields: Fields = (),
     ) -> Record:
         """Keep one event and return its record; the oldest one goes when the ring is full."""
@@ -98,7 +98,7 @@
                 request,
                 upstream,
                 link,
-                follows,
+                step,
                 fields,
             )
             self.records.append(record)
@@ -179,15 +179,15 @@
 
 
 def linked_order(ordered: list[Record]) -> list[tuple[int, int]]:
-    """Return pairs of sender's and receiver's records of the same message."""
-    senders = collections.defaultdict(list)
-    receivers = collections.defaultdict(list)
+    """Return pairs of records of the same exchange, each with one of the step before."""
+    by_link = collections.defaultdict(list)
     for number, record in enumerate(ordered):
         if record.link:
-            (receivers if record.follows else senders)[record.link].append(number)
-    return [
-        (cause, effect)
-        for link, effects in receivers.items()
-        for effect in effects
-        for cause in senders[link][:1]
-    ]
+            by_link[record.link].append(number)
+    pairs = []
+    for numbers in by_link.values():
+        numbers.sort(key=lambda n: ordered[n].step)
+        for effect in numbers:
+            earlier = [n for n in numbers if ordered[n].step < ordered[effect].step]
+            pairs += [(cause, effect) for cause in earlier]
+    return pairs
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -15,10 +15,13 @@
     held.counter("drops", "Datagrams dropped.", reason="late").value += 1
     assert held.counter("drops", "Datagrams dropped.", reason="forged").value == 3
     held.gauge("flows", "Flows held.", lambda: 7)
+    held.tally("events", "Events.", {"b": 2, "a": 1}, "event")
     assert lines_of(held) == [
         'ebonystile_drops_total{reason="forged"} 3.0',
         'ebonystile_drops_total{reason="late"} 1.0',
         "ebonystile_flows 7.0",
+        'ebonystile_events_total{event="a"} 1.0',
+        'ebonystile_events_total{event="b"} 2.0',
     ]
     assert "# HELP ebonystile_drops_total Datagrams dropped." in held.text().decode()
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,5 +1,6 @@
 """Check the ring of events and that a merge never shows an effect before its cause."""
 
+import collections
 import dataclasses
 
 import pytest
@@ -9,9 +10,9 @@
 from ebonystile import timeline
 
 
-def record(process, sequence, time, link=b"", follows=False, incarnation=1):
+def record(process, sequence, time, link=b"", step=0, incarnation=1):
     return timeline.Record(
-        time, process, "sidecar", incarnation, sequence, "e", link=link, follows=follows
+        time, process, "sidecar", incarnation, sequence, "e", link=link, step=step
     )
 
 
@@ -52,7 +53,7 @@
     By time alone the new home would have the flow before the old one gave it away.
     """
     sent = record("old", 1, 1_000, link=b"t")
-    received = record("new", 1, 500, link=b"t", follows=True)
+    received = record("new", 1, 500, link=b"t", step=1)
     later = record("new", 2, 510)
     other = record("third", 1, 700)
     assert timeline.merge([later, received, other, sent]) == [other, sent, received, later]
@@ -64,9 +65,9 @@
 
 def test_a_circle_of_causes_still_comes_out_whole():
     records = [
-        record("a", 1, 5, link=b"x", follows=True),
+        record("a", 1, 5, link=b"x", step=1),
         record("a", 2, 6, link=b"y"),
-        record("b", 1, 5, link=b"y", follows=True),
+        record("b", 1, 5, link=b"y", step=1),
         record("b", 2, 6, link=b"x"),
     ]
     assert sorted(timeline.merge(records), key=timeline.rank) == sorted(records, key=timeline.rank)
@@ -82,18 +83,18 @@
 def test_any_true_history_comes_out_with_causes_first(events, skews):
     """Play a history in true order with clocks apart, then ask the merge for it."""
     sequences = dict.fromkeys("abc", 0)
-    sent, records = set(), []
-    for time, (process, step, link) in enumerate(events):
+    steps = collections.Counter()
+    records = []
+    for time, (process, delay, link) in enumerate(events):
         sequences[process] += 1
-        clock = 100 + 10 * time + step + skews["abc".index(process)]
-        records.append(record(process, sequences[process], clock, link, link in sent))
-        sent.add(link)
+        clock = 100 + 10 * time + delay + skews["abc".index(process)]
+        records.append(record(process, sequences[process], clock, link, steps[link]))
+        steps[link] += 1
     merged = timeline.merge(reversed(records))
     assert sorted(merged, key=timeline.rank) == sorted(records, key=timeline.rank)
     place = {dataclasses.astuple(r): n for n, r in enumerate(merged)}
     for n, effect in enumerate(records):
         for cause in records[:n]:
             own = cause.process == effect.process
-            linked = effect.follows and cause.link == effect.link and not cause.follows
-            if own or (linked and effect.link):
+            if own or (effect.link and cause.link == effect.link):
                 assert place[dataclasses.astuple(cause)] < place[dataclasses.astuple(effect)]
