--- a/src/ebonystile/commands/balancer.py
+++ b/src/ebonystile/commands/balancer.py
@@ -1,32 +1,22 @@
-"""Start the balancer: `ebonystile-balancer --settings FILE`."""
-
-import sys
+"""Start a balancer: `ebonystile-balancer`."""
 
 import click
 
 import ebonystile
-from ebonystile import errors, settings
+from ebonystile import settings
+from ebonystile.commands import shell
 from ebonystile.daemon import balancer
 
-EXIT_SETTINGS = 2
-EXIT_FAILURE = 1
-
-
-@click.command()
-@click.option("--settings", "path", required=True, help="Settings file: JSON with comments.")
-@click.version_option(ebonystile.__version__)
-def main(path: str) -> None:
-    """Run one balancer until SIGTERM, then leave gracefully."""
-    try:
-        balancer.run(settings.read_balancer(path))
-    except errors.SettingsError as error:
-        for fault in error.faults:
-            click.echo(f"{path}: {fault}", err=True)
-        sys.exit(EXIT_SETTINGS)
-    except errors.EbonystileError as error:
-        click.echo(str(error), err=True)
-        sys.exit(EXIT_FAILURE)
 
+@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option(
+    "--settings", "path", required=True, type=click.Path(dir_okay=False), help="Settings file."
+)
+@click.version_option(ebonystile.__version__, prog_name="ebonystile-balancer")
+@shell.telling_errors
+def main(path):
+    """Route callers' packets to sidecars until SIGTERM; then relay on until drained.
 
-if __name__ == "__main__":
-    main()
+    Exit status: 0 after a graceful stop, 1 if it couldn't start or failed, 2 for wrong settings.
+    """
+    balancer.run(settings.read_balancer(path))
--- a/src/ebonystile/commands/sidecar.py
+++ b/src/ebonystile/commands/sidecar.py
@@ -1,32 +1,22 @@
-"""Start the sidecar: `ebonystile-sidecar --settings FILE`."""
-
-import sys
+"""Start the process beside an upstream: `ebonystile-sidecar`."""
 
 import click
 
 import ebonystile
-from ebonystile import errors, settings
+from ebonystile import settings
+from ebonystile.commands import shell
 from ebonystile.daemon import sidecar
 
-EXIT_SETTINGS = 2
-EXIT_FAILURE = 1
-
-
-@click.command()
-@click.option("--settings", "path", required=True, help="Settings file: JSON with comments.")
-@click.version_option(ebonystile.__version__)
-def main(path: str) -> None:
-    """Run one sidecar until SIGTERM, then leave gracefully."""
-    try:
-        sidecar.run(settings.read_sidecar(path))
-    except errors.SettingsError as error:
-        for fault in error.faults:
-            click.echo(f"{path}: {fault}", err=True)
-        sys.exit(EXIT_SETTINGS)
-    except errors.EbonystileError as error:
-        click.echo(str(error), err=True)
-        sys.exit(EXIT_FAILURE)
 
+@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option(
+    "--settings", "path", required=True, type=click.Path(dir_okay=False), help="Settings file."
+)
+@click.version_option(ebonystile.__version__, prog_name="ebonystile-sidecar")
+@shell.telling_errors
+def main(path):
+    """Hold the flows and requests of one upstream until SIGTERM; then finish and hand over.
 
-if __name__ == "__main__":
-    main()
+    Exit status: 0 after a graceful stop, 1 if it couldn't start or failed, 2 for wrong settings.
+    """
+    sidecar.run(settings.read_sidecar(path))
