--- a/src/ebonystile/commands/operator.py
+++ b/src/ebonystile/commands/operator.py
@@ -25,3 +25,7 @@
 main.add_command(timeline.show)
 main.add_command(reference.show)
 main.add_command(completion.completion)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/ebonystile/commands/sidecar.py
+++ b/src/ebonystile/commands/sidecar.py
@@ -20,3 +20,7 @@
     Exit status: 0 after a graceful stop, 1 if it couldn't start or failed, 2 for wrong settings.
     """
     sidecar.run(settings.read_sidecar(path))
+
+
+if __name__ == "__main__":
+    main()
