Refuse datagrams in which more follows the message

The decoder read the first CBOR item and passed over the rest, against its own docstring; the new property test over all families failed for every type of message before this change and passes with it.

--- a/src/ebonystile/codec.py
+++ b/src/ebonystile/codec.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import io
 import types
 import typing
 from collections import abc
@@ -84,10 +85,13 @@
         if len(data) > MAX_DATAGRAM:
             raise self.fault(f"{len(data)} bytes are more than {MAX_DATAGRAM}")
         try:
-            items = cbor2.loads(data)
+            file = io.BytesIO(data)
+            items = cbor2.load(file)
         except Exception as error:
             # The library raises many types for malformed input; each means the same to us.
             raise self.fault(f"not CBOR: {error}") from error
+        if file.tell() < len(data):
+            raise self.fault("more follows the message")
         return self.from_items(items)
 
     def from_items(self, items: typing.Any) -> typing.Any:
--- /dev/null
+++ b/tests/test_datagrams.py
@@ -0,0 +1,108 @@
+"""Give the codecs of every family any bytes: they return a checked message or one typed error."""
+
+import contextlib
+import dataclasses
+import typing
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonystile import codec, errors
+from ebonystile.caller import messages as caller_messages
+from ebonystile.operator import messages as operator_messages
+from ebonystile.peer import messages as peer_messages
+
+FAMILIES = [
+    caller_messages.FROM_CALLER,
+    caller_messages.TO_CALLER,
+    operator_messages.OPERATOR,
+    operator_messages.RECORDS,
+    peer_messages.PACKET_PATH,
+]
+KINDS = [(family, message_type) for family in FAMILIES for message_type in family.names]
+
+INTEGERS = st.integers(-codec.INTEGER_LIMIT + 1, 2 * codec.INTEGER_LIMIT - 1)
+SIMPLE = {
+    int: INTEGERS,
+    bool: st.booleans(),
+    str: st.text(max_size=9),
+    bytes: st.binary(max_size=9),
+}
+
+
+def values_of(annotation):
+    """Return a strategy for the values that fit an annotation."""
+    if annotation in SIMPLE:
+        return SIMPLE[annotation]
+    arguments = typing.get_args(annotation)
+    if arguments[-1] is Ellipsis:
+        return st.lists(values_of(arguments[0]), max_size=3).map(tuple)
+    return st.tuples(*[values_of(a) for a in arguments])
+
+
+def messages_of(message_type):
+    """Return a strategy for the messages of one type."""
+    hints = typing.get_type_hints(message_type)
+    fields = {f.name: values_of(hints[f.name]) for f in dataclasses.fields(message_type)}
+    return st.builds(message_type, **fields)
+
+
+def refused_or_whole(family, data):
+    """Decode bytes that may be anything; a message that comes out must encode again."""
+    with contextlib.suppress(errors.DatagramError):
+        message = family.decode(data)
+        assert family.decode(family.encode(message)) == message
+
+
+@pytest.mark.parametrize(("family", "message_type"), KINDS)
+@given(data=st.data())
+def test_every_message_survives_the_wire_and_its_damage(family, message_type, data):
+    message = data.draw(messages_of(message_type))
+    encoded = family.encode(message)
+    assert family.decode(encoded) == message
+    cut = data.draw(st.integers(0, len(encoded) - 1))
+    with pytest.raises(errors.DatagramError):
+        family.decode(encoded[:cut])
+    with pytest.raises(errors.DatagramError):
+        family.decode(encoded + encoded)
+    place = data.draw(st.integers(0, len(encoded) - 1))
+    value = data.draw(st.integers(0, 255))
+    refused_or_whole(family, encoded[:place] + bytes([value]) + encoded[place + 1 :])
+    with pytest.raises(errors.DatagramError):
+        family.decode(encoded.ljust(codec.MAX_DATAGRAM + 1, b"\0"))
+
+
+FOREIGN = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=12,
+)
+
+
+@pytest.mark.parametrize("family", FAMILIES, ids=lambda family: family.family)
+@given(data=st.binary(max_size=100), items=FOREIGN)
+def test_foreign_bytes_and_foreign_cbor_are_refused(family, data, items):
+    refused_or_whole(family, data)
+    refused_or_whole(family, cbor2.dumps(items))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x81" * 50_000,
+        b"\x9f" * 10_000,
+        b"\xbf" * 10_000,
+        b"\x9b\x7f\xff\xff\xff\xff\xff\xff\xff",
+        b"\x5b\x7f\xff\xff\xff\xff\xff\xff\xff",
+        b"\xc2\x59\xea\x00" + b"\xff" * 59_904,
+        b"\xd8\x1c\x81\xd8\x1d\x00",
+        b"\xd8\x23\x78\x20" + b"(a+)+" * 6 + b"$b",
+    ],
+    ids=["deep", "open-lists", "open-maps", "long-list", "long-bytes", "bignum", "loop", "regex"],
+)
+def test_hostile_cbor_is_refused(data):
+    for family in FAMILIES:
+        with pytest.raises(errors.DatagramError):
+            family.decode(data)
