Use the anchored clock and the settings' address parser in the clients of platform and upstream

Cause: the clients had a wall clock and an address parser of their own; a step of the wall clock would have moved their deadlines against the daemons'. Ruled out: keeping both and converting.

--- a/src/ebonystile/platform/client.py
+++ b/src/ebonystile/platform/client.py
@@ -5,14 +5,12 @@
 """
 
 import dataclasses
-import ipaddress
 import typing
 import urllib.parse
 
 import pydantic
 
-from ebonystile import errors, webclient
-from ebonystile.core import view
+from ebonystile import clock, errors, settings, webclient
 
 MAX_ANSWER = 2 << 20
 """Largest answer in bytes: a value is at most 1 MB, and a page of them about as much."""
@@ -29,16 +27,6 @@
 Name = typing.Annotated[str, pydantic.Field(min_length=1, max_length=256)]
 
 
-def parse_address(text: typing.Any) -> view.Address:
-    """Return the address that `ip:port` stands for; raise ValueError for anything else."""
-    if type(text) is not str:
-        raise ValueError("an address is a text")
-    host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdecimal() and 0 < int(port) < 1 << 16):
-        raise ValueError("an address is ip:port")
-    return str(ipaddress.IPv4Address(host)), int(port)
-
-
 class Model(pydantic.BaseModel):
     """Base of what is checked at this border; keys unknown to us are left alone."""
 
@@ -66,7 +54,7 @@
 
     name: Name
     role: typing.Literal["balancer", "upstream"]
-    address: typing.Annotated[view.Address, pydantic.BeforeValidator(parse_address)]
+    address: settings.Address
     zone: Name
     state: typing.Literal["live", "leaving", "gone"]
 
@@ -106,10 +94,10 @@
 class Platform:
     """The platform; every method blocks and may be called from several threads."""
 
-    def __init__(self, url: str, clock: webclient.Clock):
+    def __init__(self, url: str, now: webclient.Clock):
         self.url = url
-        self.clock = clock
-        self.web = webclient.Client(url, CONNECTIONS, block=False, clock=clock)
+        self.now = now
+        self.web = webclient.Client(url, CONNECTIONS, block=False, now=now)
 
     def watch(self, after: int, wait_until: int) -> Values:
         """Return the values that changed after a revision; wait for one until `wait_until`."""
@@ -134,12 +122,12 @@
 
     def page(self, path: str, after: int, wait_until: int, model: type[Page], step: str) -> Page:
         """Make one call and check its answer."""
-        wait_ms = max(0, wait_until - self.clock())
+        wait_ms = max(0, wait_until - self.now())
         query = urllib.parse.urlencode({"after": after, "wait_ms": wait_ms})
         response = self.web.exchange(
             "GET",
             f"{path}?{query}",
-            deadline=self.clock() + wait_ms + WAIT_MARGIN_MS,
+            deadline=self.now() + wait_ms + WAIT_MARGIN_MS,
             limit=MAX_ANSWER,
             fail=lambda reason, _: self.error(reason, step),
         )
@@ -160,6 +148,6 @@
         self.web.close()
 
 
-def make_platform(url: str, clock: webclient.Clock = webclient.wall_clock) -> Platform:
+def make_platform(url: str, now: webclient.Clock = clock.now) -> Platform:
     """Return a client for the platform at `url`."""
-    return Platform(url, clock)
+    return Platform(url, now)
--- a/src/ebonystile/upstream/client.py
+++ b/src/ebonystile/upstream/client.py
@@ -11,7 +11,7 @@
 import cbor2
 import pydantic
 
-from ebonystile import errors, webclient
+from ebonystile import clock, errors, webclient
 from ebonystile.caller import messages
 
 MAX_ANSWER = messages.MAX_PARTS * messages.PART_BYTES
@@ -98,12 +98,12 @@
     set of runs can hold up a cancellation or a health check.
     """
 
-    def __init__(self, url: str, connections: int, clock: webclient.Clock):
+    def __init__(self, url: str, connections: int, now: webclient.Clock):
         self.url = url
-        self.clock = clock
-        self.work = webclient.Client(url, connections, block=True, clock=clock)
-        self.feeds = webclient.Client(url, connections, block=False, clock=clock)
-        self.control = webclient.Client(url, CONTROL_CONNECTIONS, block=False, clock=clock)
+        self.now = now
+        self.work = webclient.Client(url, connections, block=True, now=now)
+        self.feeds = webclient.Client(url, connections, block=False, now=now)
+        self.control = webclient.Client(url, CONTROL_CONNECTIONS, block=False, now=now)
 
     def run(self, job: Job) -> Reply:
         """Run the job and return the service's answer.
@@ -156,12 +156,12 @@
         was none. Events that do not follow on `after` without a gap are an error.
         """
         step = "read feed"
-        wait_ms = max(0, wait_until - self.clock())
+        wait_ms = max(0, wait_until - self.now())
         query = urllib.parse.urlencode({"after": after, "limit": limit, "wait_ms": wait_ms})
         response = self.feeds.exchange(
             "GET",
             f"/feeds/{self.safe_path(path, step)}?{query}",
-            deadline=self.clock() + wait_ms + WAIT_MARGIN_MS,
+            deadline=self.now() + wait_ms + WAIT_MARGIN_MS,
             limit=MAX_EVENTS_BYTES,
             fail=self.error_maker(step),
             headers={"X-Service": service},
@@ -204,7 +204,7 @@
         response = self.control.exchange(
             method,
             path,
-            deadline=self.clock() + CONTROL_MS,
+            deadline=self.now() + CONTROL_MS,
             limit=MAX_REPORT,
             fail=self.error_maker(step),
         )
@@ -238,7 +238,7 @@
         text = response.headers.get("Retry-After-Ms", "")
         if not (text.isascii() and text.isdecimal() and len(text) < 10):
             return None
-        return self.clock() + min(int(text), MAX_RETRY_MS)
+        return self.now() + min(int(text), MAX_RETRY_MS)
 
     def error(self, reason: str, step: str) -> errors.UpstreamError:
         """Return the error for an answer that cannot be used."""
@@ -256,8 +256,6 @@
             client.close()
 
 
-def make_upstream(
-    url: str, connections: int, clock: webclient.Clock = webclient.wall_clock
-) -> Upstream:
+def make_upstream(url: str, connections: int, now: webclient.Clock = clock.now) -> Upstream:
     """Return a client for the upstream at `url` that runs at most `connections` jobs at a time."""
-    return Upstream(url, connections, clock)
+    return Upstream(url, connections, now)
--- a/src/ebonystile/webclient.py
+++ b/src/ebonystile/webclient.py
@@ -1,12 +1,11 @@
 """Exchange HTTP/1.1 with outside systems: deadlines, bounded bodies, and never a second try."""
 
 import dataclasses
-import time
 import typing
 
 import urllib3
 
-from ebonystile import errors
+from ebonystile import clock, errors
 
 LEAST_SECONDS = 0.001
 """Shortest timeout in seconds; a deadline that has passed is checked before anything is sent."""
@@ -19,11 +18,6 @@
 """Make the peer's error from a reason and whether the request may have reached the peer."""
 
 
-def wall_clock() -> int:
-    """Return the wall clock in milliseconds since the epoch."""
-    return int(time.time() * 1000)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """An HTTP response, read whole."""
@@ -39,8 +33,8 @@
     With `block`, a call waits for one of the `connections`; else it opens another one.
     """
 
-    def __init__(self, url: str, connections: int, *, block: bool, clock: Clock = wall_clock):
-        self.clock = clock
+    def __init__(self, url: str, connections: int, *, block: bool, now: Clock = clock.now):
+        self.now = now
         self.pool = urllib3.connectionpool.connection_from_url(
             url, maxsize=connections, block=block, retries=False
         )
@@ -61,7 +55,7 @@
         A kept connection that the server closes in this very moment fails too: nobody can tell
         whether the server read the request, so it is reported as possibly sent, never repeated.
         """
-        seconds = (deadline - self.clock()) / 1000
+        seconds = (deadline - self.now()) / 1000
         if seconds < LEAST_SECONDS:
             raise fail("the deadline has passed", False)
         try:
@@ -102,7 +96,7 @@
                 size += len(part)
                 if size > limit:
                     raise fail(f"answer larger than {limit} bytes", True)
-                if self.clock() > deadline:
+                if self.now() > deadline:
                     raise fail("answer not complete before the deadline", True)
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             response.close()
