--- a/src/ebonystile/codec.py
+++ b/src/ebonystile/codec.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import io
 import types
 import typing
 from collections import abc
@@ -71,20 +72,26 @@
             self.by_kind[message_type.KIND] = (message_type, checks)
             self.names[message_type] = tuple(fields)
 
+    def to_items(self, message: typing.Any) -> list[typing.Any]:
+        """Return the kind and the fields, as they stand in the array on the wire."""
+        return [message.KIND, *[getattr(message, name) for name in self.names[type(message)]]]
+
     def encode(self, message: typing.Any) -> bytes:
         """Return the message as one CBOR item."""
-        values = [getattr(message, name) for name in self.names[type(message)]]
-        return cbor2.dumps([message.KIND, *values])
+        return cbor2.dumps(self.to_items(message))
 
     def decode(self, data: bytes) -> typing.Any:
         """Return the message in `data`; raise `DatagramError` if it is not exactly one."""
         if len(data) > MAX_DATAGRAM:
             raise self.fault(f"{len(data)} bytes are more than {MAX_DATAGRAM}")
         try:
-            items = cbor2.loads(data)
+            file = io.BytesIO(data)
+            items = cbor2.load(file)
         except Exception as error:
             # The library raises many types for malformed input; each means the same to us.
             raise self.fault(f"not CBOR: {error}") from error
+        if file.tell() < len(data):
+            raise self.fault("more follows the message")
         return self.from_items(items)
 
     def from_items(self, items: typing.Any) -> typing.Any:
