Run the control core in the daemons in place of a watch by each process

Cause: every process watched the platform itself, so its calls grew with the fleet, and a process that started during an outage had no configuration. Change: daemon/control.py runs the spread core; platform calls and websocket pulls run in executors whose callbacks post events; large updates are packed and unpacked there. A balancer drops packets from a pause until it has caught up; a watch waits 2 s (was 25 s), since its answer is what confirms the view.

--- a/benches/fleet.py
+++ b/benches/fleet.py
@@ -12,7 +12,7 @@
 import time
 import typing
 
-from ebonystile.core import assembly, configuration, spread, spread_state, store
+from ebonystile.core import assembly, configuration, pulling, spread, spread_state, store
 from ebonystile.peer import control
 
 TICK_MS = 200
@@ -237,12 +237,19 @@
             self.at(self.now + 1000, self.post, node, spread.FetchFailed(effect.pull.nonce))
             return
         begin = time.perf_counter_ns()
-        reply = spread.pulling.serve(peer.core, effect.pull, self.now)
+        prepared = pulling.prepare(peer.core, effect.pull, self.now)
+        if isinstance(prepared, control.Busy):
+            fetched = spread.Fetched(prepared)
+        else:
+            fetched = self.unpack(peer, node, pulling.finish(prepared))
         peer.busy_ns += time.perf_counter_ns() - begin
-        if isinstance(reply, control.UpdateReply):
-            peer.sent_bytes += len(reply.update)
-            node.received_bytes += len(reply.update)
-        self.at(self.now + 2 * self.delay[1], self.post, node, spread.Fetched(reply))
+        self.at(self.now + 2 * self.delay[1], self.post, node, fetched)
+
+    def unpack(self, peer: Node, node: Node, reply: control.UpdateReply) -> spread.Fetched:
+        """Count the bytes of a large answer and unpack it."""
+        peer.sent_bytes += len(reply.update)
+        node.received_bytes += len(reply.update)
+        return spread.Fetched(reply, control.unpack_update(reply.update))
 
     def call(self, node: Node, call: spread_state.WatchPlatform) -> None:
         """Take a call of the platform: answer, let it wait, or let it fail."""
--- a/src/ebonystile/core/pulling.py
+++ b/src/ebonystile/core/pulling.py
@@ -1,13 +1,19 @@
 """Get what a peer shows to have more of, and give peers what they ask for, within a budget."""
 
+import dataclasses
+
 from ebonystile.core import configuration, membership, spread_state, view
 from ebonystile.peer import control
 
 MAX_AHEAD = 8
 """Peers remembered that have shown more; any one of them will do."""
 
-MAX_PACKED = 2
-"""Packed updates kept, so that many pulls of one state cost one packing."""
+KEY_BYTES = 16
+INSTANCE_BYTES = 30
+"""Bytes of a key and of a listed instance in a packed update, about."""
+
+DATAGRAM_ESTIMATE = 4_000
+"""Estimate above which an answer is not even packed to see whether it fits a datagram."""
 
 FILL_MS = 5_000
 """How often a process that lacks a document it refused asks for an older value of it, in ms."""
@@ -79,9 +85,13 @@
     spread.pull_at = max(retry_at, now + spread.jitter(spread.limits.pull_jitter))
 
 
-def on_reply(spread: spread_state.Spread, reply: control.UpdateReply, now: int) -> None:
+def on_reply(
+    spread: spread_state.Spread,
+    reply: control.UpdateReply,
+    update: configuration.Update,
+    now: int,
+) -> None:
     """Take in an update. A late one is as good as any: joining cannot revert."""
-    update = control.unpack_update(reply.update)
     before = spread.configuration.digest
     changes = spread.configuration.apply(update)
     if changes or spread.configuration.digest != before:
@@ -105,25 +115,50 @@
         forget(spread, now, min(retry_at, now + spread.limits.exchange))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepared:
+    """An answer to a pull that still has to be packed, which any thread may do."""
+
+    pull: control.Pull
+    caught_up: bool
+    fresh_as_of: int
+    update: configuration.Update
+
+
+def prepare(spread: spread_state.Spread, pull: control.Pull, now: int) -> Prepared | control.Busy:
+    """Put the answer to a pull together, if the budget allows it."""
+    update = spread.configuration.update_for(control.wanted_of(pull))
+    size = estimate(update)
+    if not spread.update_budget.take(size, now):
+        return control.Busy(pull.nonce, spread.update_budget.ready_at(size, now))
+    return Prepared(pull, spread.caught_up, spread.fresh_as_of, update)
+
+
+def estimate(update: configuration.Update) -> int:
+    """Return about how many bytes an update has when packed: values are compressed already."""
+    values = sum(KEY_BYTES + len(entry.value or b"") for _, entry in update.values.entries)
+    names = len(update.values.names or ()) + len(update.instances.names or ())
+    return values + INSTANCE_BYTES * len(update.instances.entries) + KEY_BYTES * names
+
+
+def finish(prepared: Prepared) -> control.UpdateReply:
+    """Pack a prepared answer."""
+    packed = control.pack_update(prepared.update)
+    return control.UpdateReply(
+        prepared.pull.nonce, prepared.caught_up, prepared.fresh_as_of, packed
+    )
+
+
 def serve(
-    spread: spread_state.Spread, pull: control.Pull, now: int, limit: int | None = None
+    spread: spread_state.Spread, pull: control.Pull, now: int
 ) -> control.UpdateReply | control.TooLarge | control.Busy:
-    """Answer a pull within the budget, in at most `limit` bytes."""
-    packed = pack(spread, control.wanted_of(pull))
-    if limit is not None and len(packed) > limit:
+    """Answer a pull that came as a datagram, if the answer fits one."""
+    update = spread.configuration.update_for(control.wanted_of(pull))
+    if estimate(update) > DATAGRAM_ESTIMATE:
+        return control.TooLarge(pull.nonce)
+    reply = finish(Prepared(pull, spread.caught_up, spread.fresh_as_of, update))
+    if len(reply.update) > control.DATAGRAM_BYTES:
         return control.TooLarge(pull.nonce)
-    if not spread.update_budget.take(len(packed), now):
-        return control.Busy(pull.nonce, spread.update_budget.ready_at(len(packed), now))
-    return control.UpdateReply(pull.nonce, spread.caught_up, spread.fresh_as_of, packed)
-
-
-def pack(spread: spread_state.Spread, wanted: configuration.Wanted) -> bytes:
-    """Return the packed update, from the few kept if it is there."""
-    key = (spread.configuration.digest, wanted)
-    packed = spread.packed.get(key)
-    if packed is None:
-        packed = control.pack_update(spread.configuration.update_for(wanted))
-        spread.packed[key] = packed
-        if len(spread.packed) > MAX_PACKED:
-            spread.packed.popitem(last=False)
-    return packed
+    if not spread.update_budget.take(len(reply.update), now):
+        return control.Busy(pull.nonce, spread.update_budget.ready_at(len(reply.update), now))
+    return reply
--- a/src/ebonystile/core/spread.py
+++ b/src/ebonystile/core/spread.py
@@ -66,9 +66,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fetched:
-    """A pull over a websocket was answered."""
+    """A pull over a websocket was answered; the update is unpacked already."""
 
     reply: control.UpdateReply | control.Busy
+    update: configuration.Update | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,7 +198,10 @@
 
 @on_event.register
 def _(event: Fetched, spread, now):
-    on_message(event.reply, spread, None, now)
+    if event.update is None:
+        pulling.on_failed(spread, event.reply.nonce, now, event.reply.retry_at)
+    else:
+        pulling.on_reply(spread, event.reply, event.update, now)
 
 
 @on_event.register
@@ -225,12 +229,12 @@
 
 @on_message.register
 def _(message: control.Pull, spread, address, now):
-    spread.send(address, pulling.serve(spread, message, now, control.DATAGRAM_BYTES))
+    spread.send(address, pulling.serve(spread, message, now))
 
 
 @on_message.register
 def _(message: control.UpdateReply, spread, address, now):
-    pulling.on_reply(spread, message, now)
+    pulling.on_reply(spread, message, control.unpack_update(message.update), now)
 
 
 @on_message.register
--- a/src/ebonystile/core/spread_state.py
+++ b/src/ebonystile/core/spread_state.py
@@ -4,7 +4,6 @@
 `spread.decide` is the only entrance from outside.
 """
 
-import collections
 import dataclasses
 import typing
 
@@ -26,17 +25,23 @@
 class Limits:
     """The bounds of the spread; times are in ms, budgets in bytes.
 
-    exchange: between two questions to random peers. answer: until a peer counts as silent.
-    fanout: peers told at once of a change, at most every `rumour_gap`. pull_jitter, pull_timeout:
-    before a pull, and until it is given up. watch: wait of one watch of the platform; call_gap:
-    least time between two. backoff_least, backoff_most: after a failed call. stale: age of the
-    platform's last word at which others begin to watch; promotion: how long they do.
+    exchange: between two questions to random peers.
+    answer: until a peer counts as silent.
+    fanout, rumour_gap: peers told at once of a change, and the least time between two tellings.
+    pull_jitter, pull_timeout: before a pull, and until it is given up.
+    watch, call_margin: wait of one watch of the platform, and how much longer its call may take.
+    call_gap, instances_gap: least time between two reads of the values, and of the list.
+    backoff_least, backoff_most: pause after a failed call, doubled each time.
+    stale: age of the platform's last word at which others begin to watch.
+    promotion: how long they do.
     watchers, watchers_most: per zone, ordinarily and while the platform's word is old.
-    epoch: how long a choice of watchers lasts. solo_wait, solo_gap, solo_rate: a process that
-    hears no one, the gap between calls of those beyond `watchers_most`, and the most such calls a
-    second of the whole fleet. start_bound: longest wait for the answers before serving.
+    epoch: how long a choice of watchers lasts.
+    solo_wait: wait of a watch by a process that hears no one.
+    solo_gap, solo_rate: between calls of those beyond `watchers_most` while the platform's word is
+    old, and the most such calls a second of the whole fleet.
+    start_bound: longest wait for the answers before serving.
     pause_bound: longest gap between events of a process that was not paused.
-    update_rate, update_burst: bytes of updates given to others.
+    update_rate, update_burst: bytes a second of updates given to others, and at once.
     """
 
     exchange: int = 1_000
@@ -47,6 +52,7 @@
     pull_timeout: int = 1_000
     watch: int = 2_000
     call_gap: int = 500
+    instances_gap: int = 2_000
     call_margin: int = 3_000
     backoff_least: int = 500
     backoff_most: int = 15_000
@@ -59,7 +65,7 @@
     solo_gap: int = 60_000
     solo_rate: int = 50
     start_bound: int = 4_000
-    pause_bound: int = 3_000
+    pause_bound: int = 2_000
     update_rate: int = 6_000
     update_burst: int = 4_000_000
 
@@ -184,9 +190,6 @@
     helping: dict[str, tuple[view.Address, int]] = dataclasses.field(default_factory=dict)
     catch_up: CatchUp | None = None
     update_budget: budget.Budget = dataclasses.field(default_factory=lambda: budget.Budget(1, 1))
-    packed: collections.OrderedDict[typing.Any, bytes] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
     changed: bool = False
     pending: list[Effect] = dataclasses.field(default_factory=list)
 
--- a/src/ebonystile/core/watching.py
+++ b/src/ebonystile/core/watching.py
@@ -129,7 +129,8 @@
         return
     stream.calling_until = 0
     stream.failures = 0
-    stream.next_at = now if more else max(now, stream.called_at + spread.limits.call_gap)
+    gap = spread.limits.call_gap if name == VALUES else spread.limits.instances_gap
+    stream.next_at = now if more else max(now, stream.called_at + gap)
     if more:
         return
     stream.confirmed_at = now
--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -6,7 +6,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import balancer, view
-from ebonystile.daemon import server, watch
+from ebonystile.daemon import control, server
 from ebonystile.peer import messages, seal
 
 QUIET_MS = 1_000
@@ -27,8 +27,14 @@
         self.peers = self.loop.listen(config.address, self.on_peer)
         self.leave_by = 0
         self.heard_at = clock.now()
-        self.server = server.serve(config.address, {}, lambda: b"", healthy=self.healthy)
-        self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
+        self.behind = True
+        self.control = control.Control(
+            self.loop, config, "balancer", self.incarnation, self.on_view, self.on_behind
+        )
+        self.server = server.serve(
+            config.address, self.control.handlers(), lambda: b"", healthy=self.healthy
+        )
+        self.control.start(self.seal, self.peers)
         self.loop.every(200, self.tick)
         loop.on_signals(self.loop, self.leave)
 
@@ -36,25 +42,31 @@
         """Run until the process has left."""
         logs.event("started", listen=":".join(map(str, self.config.listen)))
         self.loop.run()
-        self.watcher.stop()
+        self.control.stop()
         self.server.stop()
         logs.event("stopped", **self.counts)
 
     def healthy(self) -> bool:
         """Whether the balancer has a configuration and is not leaving, for `/healthz`."""
-        return self.core.view.revision > 0 and not self.leave_by
+        return self.core.view.revision > 0 and not self.behind and not self.leave_by
+
+    def on_behind(self) -> None:
+        """Route nothing by an old view after a pause; callers retry through other balancers."""
+        self.behind = True
 
     def on_view(self, newer: view.View) -> None:
         """Route by a newer view from now on."""
+        self.behind = False
         before = self.core.view.revision
-        if balancer.change_view(self.core, newer):
-            self.seal.revision = newer.revision
-            if newer.revision != before:
-                logs.event("configured", revision=newer.revision)
+        if balancer.change_view(self.core, newer) and newer.revision != before:
+            logs.event("configured", revision=newer.revision)
 
     def on_caller(self, payload: bytes, caller: view.Address) -> None:
         """Route a caller's datagram."""
         self.heard_at = clock.now()
+        if self.behind:
+            self.counts["dropped_behind"] += 1
+            return
         action = balancer.route(self.core, caller, payload, self.heard_at)
         if type(action) is balancer.Relay:
             body = messages.PACKET_PATH.to_items(action.forward)
@@ -69,7 +81,10 @@
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Relay a sidecar's answer to its caller."""
         try:
-            message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
+            opened = self.seal.open(data)
+            if self.control.on_opened(opened, source):
+                return
+            message = messages.PACKET_PATH.from_items(opened.body)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
             logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
@@ -83,6 +98,7 @@
         logs.event("leaving", reason=reason)
         self.heard_at = clock.now()
         self.leave_by = self.heard_at + self.config.drain_ms
+        self.control.leave()
 
     def tick(self) -> None:
         """End a leaving balancer whose work is done."""
--- /dev/null
+++ b/src/ebonystile/daemon/control.py
@@ -0,0 +1,251 @@
+"""Run the control core of a process: its calls of the platform, its messages and its pulls.
+
+The core (`core.spread`) decides in the owner thread. Calls of the platform and pulls over a
+websocket block, so they run in executors whose callbacks post events; packing and unpacking of
+large updates happens there as well, to keep the packet path free.
+"""
+
+import concurrent.futures
+import functools
+import random
+import secrets
+import socket
+import typing
+from collections import abc
+
+from ebonystile import clock, errors, logs, loop, settings
+from ebonystile.core import (
+    assembly,
+    configuration,
+    effects,
+    pulling,
+    spread,
+    spread_state,
+    view,
+    watching,
+)
+from ebonystile.peer import bulk, control, seal
+from ebonystile.platform import client
+
+PATH = "/control"
+"""Path of the websocket over which pulls with large answers go."""
+
+TICK_MS = 100
+SERVE_S = 2
+"""Longest time that a peer's pull waits for the owner thread, in seconds."""
+
+PLATFORM_THREADS = 3
+FETCH_THREADS = 2
+
+Notice = abc.Callable[..., None]
+
+
+class Control:
+    """The shell of one control core; everything but `on_pull` belongs to the owner thread."""
+
+    def __init__(
+        self,
+        owner: loop.Loop,
+        config: settings.ProcessSettings,
+        role: str,
+        incarnation: int,
+        on_view: abc.Callable[[view.View], None],
+        on_behind: abc.Callable[[], None],
+        notice: Notice = logs.event,
+    ):
+        self.owner = owner
+        self.on_view = on_view
+        self.on_behind = on_behind
+        self.notice = notice
+        self.bulk_seal = seal.make_seal(config.keys, incarnation)
+        self.core = spread.make_spread(
+            config.name,
+            role,
+            config.address,
+            config.zone,
+            tuple(config.seeds),
+            make_limits(config),
+            random.Random(secrets.randbits(64)),
+            clock.now(),
+        )
+        self.platform = client.make_platform(config.platform, clock.now)
+        self.calls = concurrent.futures.ThreadPoolExecutor(PLATFORM_THREADS, "platform")
+        self.fetches = concurrent.futures.ThreadPoolExecutor(FETCH_THREADS, "fetch")
+        self.seal: seal.Seal
+        self.socket: socket.socket
+
+    def start(self, own_seal: seal.Seal, peers: socket.socket) -> None:
+        """Begin to catch up; messages go out by the socket towards the other processes."""
+        self.seal = own_seal
+        self.socket = peers
+        self.owner.every(TICK_MS, functools.partial(self.take, spread.Tick()))
+        self.take(spread.Tick())
+
+    def stop(self) -> None:
+        """End the executors; what waits for an answer is not waited for."""
+        self.calls.shutdown(wait=False, cancel_futures=True)
+        self.fetches.shutdown(wait=False, cancel_futures=True)
+        self.platform.close()
+
+    def handlers(self) -> dict[str, abc.Callable[[bytes], bytes]]:
+        """Return what the TCP server needs to answer pulls."""
+        return {PATH: self.on_pull}
+
+    def post(self, event: typing.Any) -> None:
+        """Let the owner thread give the core an event; for executors' threads."""
+        self.owner.post(functools.partial(self.take, event))
+
+    def take(self, event: typing.Any) -> None:
+        """Give the core an event and carry out what it decides."""
+        for effect in spread.decide(self.core, event, clock.now()):
+            carry_out(effect, self)
+
+    def leave(self) -> None:
+        """Tell the other processes that this one is leaving."""
+        self.take(spread.Leave())
+
+    def on_opened(self, opened: seal.Opened, source: view.Address) -> bool:
+        """Take a sealed datagram if it is a control message; return whether it was.
+
+        Every datagram shows its sender's revision: a higher one than ours leads to a pull.
+        """
+        if opened.revision > self.core.configuration.digest.values:
+            self.take(spread.Shown(source, opened.revision))
+        kind = opened.body[0] if opened.body else 0
+        if type(kind) is not int or kind not in control.CONTROL.by_kind:
+            return False
+        message = control.CONTROL.from_items(opened.body)
+        self.take(spread.Arrived(source, message))
+        return True
+
+    def on_pull(self, question: bytes) -> bytes:
+        """Answer a peer's pull; runs in a thread of the server."""
+        body = self.bulk_seal.open(question, replayable=True).body
+        pull = control.CONTROL.from_items(body)
+        if not isinstance(pull, control.Pull):
+            raise errors.DatagramError("not a pull", step="answer pull", peer="peer")
+        future: concurrent.futures.Future = concurrent.futures.Future()
+        self.owner.post(functools.partial(self.prepare, pull, future))
+        try:
+            prepared = future.result(SERVE_S)
+        except TimeoutError as error:
+            raise errors.PeerError("the core is busy", step="answer pull", peer="core") from error
+        reply = prepared if isinstance(prepared, control.Busy) else pulling.finish(prepared)
+        return self.bulk_seal.seal(control.CONTROL.to_items(reply))
+
+    def prepare(self, pull: control.Pull, future: concurrent.futures.Future) -> None:
+        """Have the core put an answer together, in the owner thread."""
+        try:
+            future.set_result(pulling.prepare(self.core, pull, clock.now()))
+        except Exception as error:
+            # The asking thread reports it; the owner thread must go on.
+            future.set_exception(error)
+
+    def call_platform(self, effect: spread_state.WatchPlatform) -> spread.PlatformRead:
+        """Make one call of the platform; runs in an executor."""
+        if effect.stream == watching.VALUES:
+            answer = self.platform.watch(effect.after, effect.wait_until)
+            values = ((entry.key, entry.revision, entry.value) for entry in answer.entries)
+            delta = configuration.values_delta(effect.after, answer.revision, values)
+            return spread.PlatformRead(effect.stream, delta, answer.more)
+        listed = self.platform.instances(effect.after, effect.wait_until)
+        instances = (instance_of(entry) for entry in listed.entries)
+        delta = configuration.instances_delta(effect.after, listed.revision, instances)
+        return spread.PlatformRead(effect.stream, delta, listed.more)
+
+    def on_called(self, stream: str, future: concurrent.futures.Future) -> None:
+        """Tell the core what the platform answered."""
+        if future.cancelled():
+            return
+        error = future.exception()
+        if error is None:
+            self.post(future.result())
+            return
+        if not isinstance(error, errors.EbonystileError):
+            logs.failure("platform-call-failed", error)
+        else:
+            self.notice("platform-failed", level="WARNING", stream=stream, error=str(error))
+        self.post(spread.PlatformFailed(stream))
+
+    def fetch(self, effect: spread_state.Fetch) -> spread.Fetched:
+        """Send a pull over a websocket and unpack its answer; runs in an executor."""
+        question = self.bulk_seal.seal(control.CONTROL.to_items(effect.pull))
+        data = bulk.exchange(effect.address, PATH, question, effect.wait_until)
+        body = self.bulk_seal.open(data, replayable=True).body
+        reply = control.CONTROL.from_items(body)
+        if isinstance(reply, control.UpdateReply):
+            return spread.Fetched(reply, control.unpack_update(reply.update))
+        if isinstance(reply, control.Busy):
+            return spread.Fetched(reply)
+        raise errors.DatagramError("not an answer to a pull", step="pull", peer="peer")
+
+    def on_fetched(self, nonce: int, future: concurrent.futures.Future) -> None:
+        """Tell the core what a pull brought."""
+        if future.cancelled():
+            return
+        error = future.exception()
+        if error is None:
+            self.post(future.result())
+            return
+        if not isinstance(error, errors.EbonystileError):
+            logs.failure("pull-failed", error)
+        else:
+            self.notice("pull-failed", level="DEBUG", error=str(error))
+        self.post(spread.FetchFailed(nonce))
+
+
+def instance_of(entry: client.Instance) -> tuple[assembly.Instance, bool]:
+    """Return an entry of the platform's list, and whether the instance is gone."""
+    leaving = entry.state == "leaving"
+    instance = assembly.Instance(entry.name, entry.role, entry.address, entry.zone, leaving)
+    return instance, entry.state == "gone"
+
+
+def make_limits(config: settings.ProcessSettings) -> spread_state.Limits:
+    """Return the core's bounds as the settings give them."""
+    return spread_state.Limits(
+        exchange=config.exchange_ms,
+        watch=config.watch_ms,
+        instances_gap=config.instances_poll_ms,
+    )
+
+
+@functools.singledispatch
+def carry_out(effect: typing.Any, shell: Control) -> None:
+    """Do what the core asks for."""
+    raise TypeError(f"no way to carry out {type(effect).__name__}")
+
+
+@carry_out.register
+def _(effect: spread_state.SendMessage, shell):
+    body = control.CONTROL.to_items(effect.message)
+    loop.send(shell.socket, shell.seal.seal(body), effect.address)
+
+
+@carry_out.register
+def _(effect: spread_state.WatchPlatform, shell):
+    future = shell.calls.submit(shell.call_platform, effect)
+    future.add_done_callback(functools.partial(shell.on_called, effect.stream))
+
+
+@carry_out.register
+def _(effect: spread_state.Fetch, shell):
+    future = shell.fetches.submit(shell.fetch, effect)
+    future.add_done_callback(functools.partial(shell.on_fetched, effect.pull.nonce))
+
+
+@carry_out.register
+def _(effect: spread_state.InForce, shell):
+    newest = shell.core.configuration.view
+    shell.seal.revision = newest.revision
+    shell.on_view(newest)
+
+
+@carry_out.register
+def _(effect: spread_state.FellBehind, shell):
+    shell.on_behind()
+
+
+@carry_out.register
+def _(effect: effects.Trace, shell):
+    shell.notice(effect.event.replace("_", "-"), **dict(effect.fields))
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import effects, events, sidecar, state, view
-from ebonystile.daemon import server, watch
+from ebonystile.daemon import control, server
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -55,10 +55,12 @@
         self.asking_health = False
         self.loop = loop.Loop()
         self.peers = self.loop.listen(config.address, self.on_peer)
-        self.server = server.serve(
-            config.address, {TRANSFER_PATH: self.on_transfer}, lambda: b"", healthy=self.healthy
+        self.control_plane = control.Control(
+            self.loop, config, "upstream", self.incarnation, self.on_view, self.on_behind
         )
-        self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
+        handlers = {TRANSFER_PATH: self.on_transfer, **self.control_plane.handlers()}
+        self.server = server.serve(config.address, handlers, lambda: b"", healthy=self.healthy)
+        self.control_plane.start(self.seal, self.peers)
         self.loop.every(events.TICK_MS, self.tick)
         self.loop.every(config.health_poll_ms, self.ask_health)
         loop.on_signals(self.loop, self.leave)
@@ -67,7 +69,7 @@
         """Run until the process has left."""
         logs.event("started", address=":".join(map(str, self.config.address)))
         self.loop.run()
-        self.watcher.stop()
+        self.control_plane.stop()
         self.server.stop()
         for pool in (self.runs, self.polls, self.bulk, self.control):
             pool.shutdown(wait=False, cancel_futures=True)
@@ -88,7 +90,10 @@
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Take a datagram from a balancer or another sidecar."""
         try:
-            message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
+            opened = self.seal.open(data)
+            if self.control_plane.on_opened(opened, source):
+                return
+            message = messages.PACKET_PATH.from_items(opened.body)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
             logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
@@ -98,9 +103,12 @@
 
     def on_view(self, newer: view.View) -> None:
         """Act by a newer view, or learn that the present one is still in force."""
-        self.seal.revision = max(self.seal.revision, newer.revision)
         self.take(events.ViewChanged(newer))
 
+    def on_behind(self) -> None:
+        """Log that the view may be old; the core noticed the pause itself and holds new work."""
+        logs.event("behind")
+
     def on_transfer(self, question: bytes) -> bytes:
         """Answer a sidecar that hands a flow over; runs in a thread of the server."""
         body = self.bulk_seal.open(question, replayable=True).body
@@ -143,6 +151,7 @@
         """Finish what runs, hand over what stays, then end."""
         logs.event("leaving", reason=reason)
         self.leave_by = clock.now() + self.config.drain_ms
+        self.control_plane.leave()
         self.take(events.Leave(reason))
 
     def ask_health(self) -> None:
--- a/src/ebonystile/settings.py
+++ b/src/ebonystile/settings.py
@@ -130,13 +130,18 @@
     )
     log_level: LogLevel = pydantic.Field("INFO", description="Least level of the lines logged.")
     watch_ms: int = duration(
-        25 * SECOND, "How long one watch of the platform waits for a newer revision.", least=100
+        2 * SECOND,
+        "How long one watch of the platform waits for a newer revision. Its answer confirms the "
+        "configuration for all; where that is old, other processes begin to watch.",
+        least=100,
+        most=5 * SECOND,
     )
     instances_poll_ms: int = duration(
-        2 * SECOND, "How often the platform's list of instances is read where it is read at all."
+        2 * SECOND,
+        "Least time between two reads of the platform's list, by the few processes that read it.",
     )
     exchange_ms: int = duration(
-        5 * SECOND, "How often revisions are compared with a random peer, before jitter."
+        SECOND, "How often a balancer compares revisions with a random peer; sidecars a quarter."
     )
     drain_ms: int = duration(
         30 * SECOND,
