--- a/src/ebonystile/core/balancer.py
+++ b/src/ebonystile/core/balancer.py
@@ -21,9 +21,9 @@
 FROM_CALLER_KINDS = frozenset(caller_messages.FROM_CALLER.by_kind)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Relay:
-    """Send a caller's datagram to a sidecar."""
+    """Send a caller's datagram to a sidecar. Not frozen: that doubles the time to make one."""
 
     address: view.Address
     forward: messages.Forward
@@ -95,13 +95,13 @@
     balancer: Balancer, flow: bytes, service_name: str, data: bytes
 ) -> view.Endpoint | Drop:
     """Return the sidecar that the token names, or one at which to start looking for the flow."""
-    token = view.unpack_token(data)
-    if token is None:
+    if len(data) != view.TOKEN.size:
         return Drop("no_token")
-    if token.service != view.key_of(service_name):
+    upstream, _, token_service = view.TOKEN.unpack(data)
+    if token_service != view.key_of(service_name):
         # The home would refuse it too; a token of one service says nothing about another.
         return Drop("wrong_service")
-    home = balancer.view.endpoints.get(token.upstream)
+    home = balancer.view.endpoints.get(upstream)
     if home is not None:
         return home
     service = balancer.view.services.get(service_name)
@@ -137,8 +137,11 @@
     if service is None or not service.accepting:
         reason = "no upstream serves it" if service else "unknown service"
         return refuse_open(balancer, caller, flow, attempt, reason, now)
-    ranked = ranking.rank(flow, service.accepting)
-    target = ranked[attempt % len(ranked)]
+    if attempt == 0:
+        target = ranking.first(flow, service.accepting)
+    else:
+        ranked = ranking.rank(flow, service.accepting)
+        target = ranked[attempt % len(ranked)]
     return Relay(target.address, messages.Forward(caller, balancer.address, (), payload))
 
 
--- a/src/ebonystile/core/state.py
+++ b/src/ebonystile/core/state.py
@@ -156,7 +156,8 @@
         """Send the datagram to the next sidecar of the flow's ranking; False if all were asked.
 
         Upstreams that take new work come first, since a handover puts a flow on one of them;
-        leaving ones may still hold it.
+        leaving ones may still hold it. A walk that has grown too long for its header ends in
+        silence, since no one may say that a flow is unknown while some have not been asked.
         """
         known = self.view.services.get(service)
         if known is None:
@@ -166,7 +167,8 @@
         ranked.sort(key=lambda u: u.leaving)
         if not ranked:
             return False
-        self.forward_to(ranked[0], forward)
+        if len(visited) <= messages.MAX_VISITED:
+            self.forward_to(ranked[0], forward)
         return True
 
     def forward_to(self, target: view.Endpoint, forward: messages.Forward) -> None:
--- a/src/ebonystile/core/view.py
+++ b/src/ebonystile/core/view.py
@@ -65,22 +65,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A service and every upstream that its selector matches now, those leaving included."""
+    """A service and every upstream that its selector matches now, those leaving included.
+
+    `accepting` are those of them that may take new work.
+    """
 
     name: str
     address: str
     upstreams: tuple[Endpoint, ...]
-    key: int = 0
-
-    @property
-    def accepting(self) -> tuple[Endpoint, ...]:
-        """The upstreams that may take new work."""
-        return tuple(u for u in self.upstreams if not u.leaving)
+    accepting: tuple[Endpoint, ...]
+    key: int
 
 
 def make_service(name: str, address: str, upstreams: typing.Iterable[Endpoint]) -> Service:
-    """Return a service with its key worked out."""
-    return Service(name, address, tuple(upstreams), key_of(name))
+    """Return a service with its key and its accepting upstreams worked out."""
+    members = tuple(upstreams)
+    accepting = tuple(u for u in members if not u.leaving)
+    return Service(name, address, members, accepting, key_of(name))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -54,11 +54,11 @@
 
     def on_caller(self, payload: bytes, caller: view.Address) -> None:
         """Route a caller's datagram."""
-        self.heard_at = clock.now()
-        action = balancer.route(self.core, caller, payload, self.heard_at)
+        self.heard_at = self.loop.now
+        action = balancer.route(self.core, caller, payload, self.loop.now)
         if type(action) is balancer.Relay:
-            body = messages.PACKET_PATH.to_items(action.forward)
-            loop.send(self.peers, self.seal.seal(body), action.address)
+            content = messages.pack_forward(action.forward)
+            loop.send(self.peers, self.seal.seal_content(content), action.address)
             self.counts["relayed"] += 1
         elif type(action) is balancer.Reply:
             loop.send(self.callers, action.payload, action.caller)
@@ -69,13 +69,13 @@
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Relay a sidecar's answer to its caller."""
         try:
-            message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
+            message = messages.unpack(self.seal.open(data).content)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
             logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
             return
         if type(message) is messages.Return:
-            loop.send(self.callers, message.payload, tuple(message.caller))
+            loop.send(self.callers, message.payload, message.caller)
             self.counts["returned"] += 1
 
     def leave(self, reason: str) -> None:
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -88,7 +88,7 @@
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Take a datagram from a balancer or another sidecar."""
         try:
-            message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
+            message = messages.unpack(self.seal.open(data).content)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
             logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
@@ -235,14 +235,14 @@
 
 @carry_out.register
 def _(effect: effects.ToCaller, daemon):
-    body = messages.PACKET_PATH.to_items(messages.Return(effect.caller, effect.payload))
-    loop.send(daemon.peers, daemon.seal.seal(body), effect.balancer)
+    content = messages.pack_return(messages.Return(effect.caller, effect.payload))
+    loop.send(daemon.peers, daemon.seal.seal_content(content), effect.balancer)
 
 
 @carry_out.register
 def _(effect: effects.ToSidecar, daemon):
-    body = messages.PACKET_PATH.to_items(effect.forward)
-    loop.send(daemon.peers, daemon.seal.seal(body), effect.address)
+    content = messages.pack_forward(effect.forward)
+    loop.send(daemon.peers, daemon.seal.seal_content(content), effect.address)
 
 
 @carry_out.register
--- a/src/ebonystile/loop.py
+++ b/src/ebonystile/loop.py
@@ -33,13 +33,17 @@
 
 
 class Loop:
-    """The loop of an owner thread; only `post` may be called from other threads."""
+    """The loop of an owner thread; only `post` may be called from other threads.
+
+    `now` is the time in ms at which the present step began, for what needs no fresher one.
+    """
 
     def __init__(self):
         self.selector = selectors.DefaultSelector()
         self.inbox: collections.deque[abc.Callable[[], None]] = collections.deque()
         self.timers: list[Timer] = []
         self.running = True
+        self.now = clock.now()
         self.waker, self.woken = socket.socketpair()
         self.waker.setblocking(False)
         self.woken.setblocking(False)
@@ -63,7 +67,8 @@
     ) -> socket.socket:
         """Return a UDP socket bound to `address` whose datagrams go to `on_datagram`."""
         udp = make_socket(address)
-        self.selector.register(udp, selectors.EVENT_READ, lambda: drain(udp, on_datagram))
+        receiver = Receiver(udp, on_datagram)
+        self.selector.register(udp, selectors.EVENT_READ, receiver.drain)
         return udp
 
     def on_woken(self) -> None:
@@ -86,7 +91,9 @@
 
     def step(self) -> None:
         """Wait for the next thing to do and do it."""
-        for key, _ in self.selector.select(self.seconds_to_timer()):
+        ready = self.selector.select(self.seconds_to_timer())
+        self.now = clock.now()
+        for key, _ in ready:
             key.data()
         for _ in range(len(self.inbox)):
             self.inbox.popleft()()
@@ -125,20 +132,35 @@
     return udp
 
 
-def drain(udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]) -> None:
-    """Take a batch of datagrams from a socket.
+class Receiver:
+    """Take datagrams from one socket, as many at a time as seem to be waiting.
 
-    The kernel reports a past send's ICMP error on the next receive; it says nothing about this
-    socket, so it is passed over.
+    Asking an empty socket costs as much as taking a datagram, so `batch` doubles while it is used
+    up and falls back to what came.
     """
-    for _ in range(BATCH):
-        try:
-            data, source = udp.recvfrom(RECEIVE_BYTES)
-        except BlockingIOError:
-            return
-        except OSError:
-            continue
-        on_datagram(data, source)
+
+    def __init__(self, udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]):
+        self.udp = udp
+        self.on_datagram = on_datagram
+        self.batch = 1
+
+    def drain(self) -> None:
+        """Take a batch of datagrams.
+
+        The kernel reports a past send's ICMP error on the next receive; it says nothing about
+        this socket, so it is passed over.
+        """
+        receive, on_datagram = self.udp.recvfrom, self.on_datagram
+        for taken in range(self.batch):
+            try:
+                data, source = receive(RECEIVE_BYTES)
+            except BlockingIOError:
+                self.batch = max(1, taken)
+                return
+            except OSError:
+                continue
+            on_datagram(data, source)
+        self.batch = min(BATCH, self.batch * 2)
 
 
 def send(udp: socket.socket, data: bytes, address: view.Address) -> bool:
--- a/src/ebonystile/peer/seal.py
+++ b/src/ebonystile/peer/seal.py
@@ -1,14 +1,16 @@
 """Seal and open the datagrams between the system's processes with a keyed MAC.
 
-A sealed datagram is `key id (1 byte) | MAC (16 bytes) | CBOR [incarnation, sequence, revision,
-body]`. The MAC is keyed BLAKE2b (RFC 7693). Two keys may be known at once, so that a key can be
-replaced without a moment at which processes refuse one another; the first one seals.
+A sealed datagram is `key id (1 byte) | MAC (16 bytes) | incarnation, sequence, revision (8 bytes
+each) | content`. The MAC is keyed BLAKE2b (RFC 7693) over all that follows it. Several keys may be
+known at once, so that a key can be replaced without a moment at which processes refuse one
+another; the first one seals. Content is a CBOR array, or a header of the packet path (messages.py).
 """
 
 import collections
 import dataclasses
 import hashlib
 import hmac
+import struct
 import typing
 
 import cbor2
@@ -16,8 +18,16 @@
 from ebonystile import errors
 
 MAC_BYTES = 16
-HEADER_BYTES = 1 + MAC_BYTES
-REPLAY_WINDOW = 4096
+SEALED = 1 + MAC_BYTES
+"""Where the sealed part of a datagram begins."""
+
+HEADER = struct.Struct("!QQQ")
+"""Incarnation, sequence and revision of the sender."""
+
+CONTENT = SEALED + HEADER.size
+"""Where the content of a datagram begins."""
+
+REPLAY_WINDOW = 1024
 """How far behind the newest sequence number of a sender a datagram may arrive."""
 
 MAX_SENDERS = 4096
@@ -32,13 +42,21 @@
     secret: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Opened:
-    """What a sealed datagram says: who sent it, the revision in force there, and the body."""
+    """What a sealed datagram says: who sent it, the revision in force there, and the content."""
 
     incarnation: int
     revision: int
-    body: list
+    content: bytes
+
+    @property
+    def body(self) -> list:
+        """The items of a CBOR content; raise `DatagramError` if it is none."""
+        try:
+            return cbor2.loads(self.content)
+        except Exception as error:
+            raise fault(f"not CBOR: {error}") from error
 
 
 class ReplayWindow:
@@ -86,11 +104,15 @@
 
     def seal(self, body: list) -> bytes:
         """Return the sealed datagram for the CBOR items in `body`."""
+        return self.seal_content(cbor2.dumps(body))
+
+    def seal_content(self, content: bytes) -> bytes:
+        """Return the sealed datagram for the content."""
         self.sequence += 1
-        content = cbor2.dumps([self.incarnation, self.sequence, self.revision, body])
+        sealed = HEADER.pack(self.incarnation, self.sequence, self.revision) + content
         state = self.own_state.copy()
-        state.update(content)
-        return self.key_id + state.digest() + content
+        state.update(sealed)
+        return self.key_id + state.digest() + sealed
 
     def open(self, data: bytes, *, replayable: bool = False) -> Opened:
         """Return what `data` says; raise `DatagramError` if it is forged, damaged or replayed.
@@ -98,25 +120,19 @@
         `replayable` skips the last check, for bulk exchanges: those travel over TCP and may be
         held up there behind more datagrams than the window holds. All of them are idempotent.
         """
-        if len(data) <= HEADER_BYTES:
-            raise self.fault("too short")
+        if len(data) < CONTENT:
+            raise fault("too short")
         known = self.states.get(data[0])
         if known is None:
-            raise self.fault(f"key {data[0]} is not known here")
-        content = data[HEADER_BYTES:]
+            raise fault(f"key {data[0]} is not known here")
         state = known.copy()
-        state.update(content)
-        if not hmac.compare_digest(state.digest(), data[1:HEADER_BYTES]):
-            raise self.fault("the MAC does not match")
-        try:
-            incarnation, sequence, revision, body = cbor2.loads(content)
-        except Exception as error:
-            raise self.fault(f"not an envelope: {error}") from error
-        if not (type(incarnation) is type(sequence) is type(revision) is int):
-            raise self.fault("not an envelope")
+        state.update(data[SEALED:])
+        if not hmac.compare_digest(state.digest(), data[1:SEALED]):
+            raise fault("the MAC does not match")
+        incarnation, sequence, revision = HEADER.unpack_from(data, SEALED)
         if not replayable and not self.window_of(incarnation).accept(sequence):
-            raise self.fault("replayed")
-        return Opened(incarnation, revision, body)
+            raise fault("replayed")
+        return Opened(incarnation, revision, data[CONTENT:])
 
     def window_of(self, incarnation: int) -> ReplayWindow:
         """Return the sender's replay window, forgetting the stalest sender beyond the bound."""
@@ -129,9 +145,10 @@
             self.windows.move_to_end(incarnation)
         return window
 
-    def fault(self, reason: str) -> errors.DatagramError:
-        """Return the error for a datagram that does not open."""
-        return errors.DatagramError(reason, step="open datagram", peer="peer")
+
+def fault(reason: str) -> errors.DatagramError:
+    """Return the error for a datagram that does not open."""
+    return errors.DatagramError(reason, step="open datagram", peer="peer")
 
 
 def make_seal(keys: typing.Iterable[typing.Any], incarnation: int) -> Seal:
