--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -6,7 +6,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import balancer, view
-from ebonystile.daemon import server, watch
+from ebonystile.daemon import answers, reporting, server, watch
 from ebonystile.peer import messages, seal
 
 QUIET_MS = 1_000
@@ -26,31 +26,50 @@
         self.callers = self.loop.listen(config.listen, self.on_caller)
         self.peers = self.loop.listen(config.address, self.on_peer)
         self.leave_by = 0
+        self.leaving = ""
         self.heard_at = clock.now()
-        self.server = server.serve(config.address, {}, lambda: b"", healthy=self.healthy)
+        identity = answers.Identity(
+            config.name, answers.BALANCER, config.zone, self.incarnation, self.heard_at
+        )
+        self.report = reporting.make_reporter(
+            identity, self.core, self.loop, self.counts, config.event_limit, self.surroundings
+        )
+        self.server = server.serve(
+            config.address,
+            self.report.handlers(config.keys),
+            self.report.metrics.text,
+            healthy=self.healthy,
+            connection_limit=config.tcp_connection_limit,
+        )
         self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
         self.loop.every(200, self.tick)
         loop.on_signals(self.loop, self.leave)
 
     def run(self) -> None:
         """Run until the process has left."""
-        logs.event("started", listen=":".join(map(str, self.config.listen)))
+        self.report.event("process_started", listen=":".join(map(str, self.config.listen)))
         self.loop.run()
         self.watcher.stop()
         self.server.stop()
-        logs.event("stopped", **self.counts)
+        logs.event("process-stopped", **self.counts)
 
     def healthy(self) -> bool:
         """Whether the balancer has a configuration and is not leaving, for `/healthz`."""
         return self.core.view.revision > 0 and not self.leave_by
 
+    def surroundings(self) -> answers.Surroundings:
+        """Return what operators see of the shell."""
+        return answers.Surroundings(
+            queued=len(self.loop.inbox), leaving=self.leaving, refusals=self.watcher.refusals()
+        )
+
     def on_view(self, newer: view.View) -> None:
         """Route by a newer view from now on."""
         before = self.core.view.revision
         if balancer.change_view(self.core, newer):
             self.seal.revision = newer.revision
             if newer.revision != before:
-                logs.event("configured", revision=newer.revision)
+                self.report.event("configured", revision=newer.revision)
 
     def on_caller(self, payload: bytes, caller: view.Address) -> None:
         """Route a caller's datagram."""
@@ -80,7 +99,8 @@
 
     def leave(self, reason: str) -> None:
         """Go on relaying until the fabric hands over no more packets, or time is up."""
-        logs.event("leaving", reason=reason)
+        self.report.event("leaving", reason=reason)
+        self.leaving = reason
         self.heard_at = clock.now()
         self.leave_by = self.heard_at + self.config.drain_ms
 
--- a/src/ebonystile/daemon/reporting.py
+++ b/src/ebonystile/daemon/reporting.py
@@ -18,6 +18,10 @@
 TRANSFER_STEPS = {"fenced": 0, "adopted": 1, "handed_over": 2}
 """The events of one handover in the order of cause and effect, over two processes."""
 
+UNKEPT = frozenset({"dropped"})
+"""Events that anybody can cause by sending rubbish: counted and logged, but a flood of them would
+push everything else out of the time line."""
+
 DETAIL = "DEBUG"
 """Level of what happens to single flows and requests; the time line has it at any level."""
 
@@ -65,6 +69,8 @@
         self.counts[name] += 1
         ids = {key: value for key, value in (("flow", flow), ("request", request)) if value}
         logs.event(name.replace("_", "-"), level=level, **ids, **fields)
+        if name in UNKEPT:
+            return
         link = fields.pop(TRANSFER_FIELD, b"")
         self.ring.add(
             clock.now(),
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import effects, events, sidecar, state, view
-from ebonystile.daemon import server, watch
+from ebonystile.daemon import answers, reporting, server, watch
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -55,8 +55,21 @@
         self.asking_health = False
         self.loop = loop.Loop()
         self.peers = self.loop.listen(config.address, self.on_peer)
+        identity = answers.Identity(
+            config.name, answers.SIDECAR, config.zone, self.incarnation, now
+        )
+        self.report = reporting.make_reporter(
+            identity, self.core, self.loop, self.counts, config.event_limit, self.surroundings
+        )
+        self.run_time = self.report.metrics.latency(
+            "run_seconds", "Time from handing a request to the upstream to its answer."
+        )
         self.server = server.serve(
-            config.address, {TRANSFER_PATH: self.on_transfer}, lambda: b"", healthy=self.healthy
+            config.address,
+            {TRANSFER_PATH: self.on_transfer, **self.report.handlers(config.keys)},
+            self.report.metrics.text,
+            healthy=self.healthy,
+            connection_limit=config.tcp_connection_limit,
         )
         self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
         self.loop.every(events.TICK_MS, self.tick)
@@ -65,14 +78,14 @@
 
     def run(self) -> None:
         """Run until the process has left."""
-        logs.event("started", address=":".join(map(str, self.config.address)))
+        self.report.event("process_started", address=":".join(map(str, self.config.address)))
         self.loop.run()
         self.watcher.stop()
         self.server.stop()
         for pool in (self.runs, self.polls, self.bulk, self.control):
             pool.shutdown(wait=False, cancel_futures=True)
         self.upstream.close()
-        logs.event("stopped", **self.counts)
+        logs.event("process-stopped", **self.counts)
 
     # What happens
 
@@ -122,6 +135,10 @@
         """Return a transfer or its reply as it travels."""
         return self.bulk_seal.seal(transfer.TRANSFERS.to_items(message))
 
+    def surroundings(self) -> answers.Surroundings:
+        """Return what operators see of the shell."""
+        return answers.Surroundings(refusals=self.watcher.refusals())
+
     def healthy(self) -> bool:
         """Whether the process has a configuration and takes new work, for `/healthz`."""
         return self.core.view.revision > 0 and not self.core.leaving
@@ -141,7 +158,7 @@
 
     def leave(self, reason: str) -> None:
         """Finish what runs, hand over what stays, then end."""
-        logs.event("leaving", reason=reason)
+        self.report.event("stop_asked", reason=reason)
         self.leave_by = clock.now() + self.config.drain_ms
         self.take(events.Leave(reason))
 
@@ -172,8 +189,14 @@
             )
         return self.upstream.run(job)
 
-    def on_run_done(self, key: tuple[bytes, bytes], future: concurrent.futures.Future) -> None:
-        """Tell the core how a request ended."""
+    def on_run_done(
+        self, key: tuple[bytes, bytes], started: int, future: concurrent.futures.Future
+    ) -> None:
+        """Tell the core how a request that was handed over at `started` ended."""
+        if future.cancelled():
+            return
+        now = clock.now()
+        self.loop.post(functools.partial(self.run_time.record, now, now - started))
         error = future.exception()
         if error is None:
             reply = future.result()
@@ -251,7 +274,7 @@
         effect.key[1], effect.service, effect.path, effect.body, effect.deadline, effect.idempotent
     )
     future = daemon.runs.submit(daemon.hand_over_request, job)
-    future.add_done_callback(functools.partial(daemon.on_run_done, effect.key))
+    future.add_done_callback(functools.partial(daemon.on_run_done, effect.key, clock.now()))
 
 
 @carry_out.register
@@ -280,13 +303,13 @@
 
 @carry_out.register
 def _(effect: effects.Trace, daemon):
-    daemon.counts[effect.event] += 1
-    fields = dict(effect.fields)
-    if effect.flow:
-        fields["flow"] = effect.flow
-    if effect.request:
-        fields["request"] = effect.request
-    logs.event(effect.event.replace("_", "-"), level="DEBUG", **fields)
+    daemon.report.event(
+        effect.event,
+        level=reporting.DETAIL,
+        flow=effect.flow,
+        request=effect.request,
+        **dict(effect.fields),
+    )
 
 
 def make_limits(config: settings.SidecarSettings) -> state.Limits:
--- a/src/ebonystile/daemon/watch.py
+++ b/src/ebonystile/daemon/watch.py
@@ -73,6 +73,14 @@
         empty = store.Delta(0, 0, 0, ())
         self.owner.post(functools.partial(self.apply, configuration.Update(empty, delta)))
 
+    def refusals(self) -> tuple[str, ...]:
+        """Return the faults of every document that is refused now; for the owner thread."""
+        return tuple(
+            f"{refusal.key} at revision {refusal.revision}: {fault}"
+            for refusal in self.configuration.refused
+            for fault in refusal.faults
+        )
+
     def apply(self, update: configuration.Update) -> None:
         """Take in an answer, in the owner thread."""
         changes = self.configuration.apply(update)
