Name events alike in logs, time line and metrics

Events are written with underscores everywhere; logs and time line had hyphens, metrics underscores.

--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -51,7 +51,7 @@
         self.loop.run()
         self.watcher.stop()
         self.server.stop()
-        logs.event("process-stopped", **self.counts)
+        logs.event("process_stopped", **self.counts)
 
     def healthy(self) -> bool:
         """Whether the balancer has a configuration and is not leaving, for `/healthz`."""
@@ -91,7 +91,7 @@
             message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
-            logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
+            logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
             return
         if type(message) is messages.Return:
             loop.send(self.callers, message.payload, tuple(message.caller))
--- a/src/ebonystile/daemon/reporting.py
+++ b/src/ebonystile/daemon/reporting.py
@@ -68,13 +68,13 @@
         """Count an event, log it and put it into the time line."""
         self.counts[name] += 1
         ids = {key: value for key, value in (("flow", flow), ("request", request)) if value}
-        logs.event(name.replace("_", "-"), level=level, **ids, **fields)
+        logs.event(name, level=level, **ids, **fields)
         if name in UNKEPT:
             return
         link = fields.pop(TRANSFER_FIELD, b"")
         self.ring.add(
             clock.now(),
-            name.replace("_", "-"),
+            name,
             flow=flow,
             request=request,
             upstream=upstream_of(self.identity),
--- a/src/ebonystile/daemon/server.py
+++ b/src/ebonystile/daemon/server.py
@@ -164,12 +164,12 @@
             answer = handler(question)
         except errors.EbonystileError as error:
             self.count("bad_message")
-            logs.event("exchange-refused", level="DEBUG", error=str(error))
+            logs.event("exchange_refused", level="DEBUG", error=str(error))
             return None
         except Exception as error:
             # A bug met in answering one peer must not end the exchange for all others.
             self.count("handler_failed")
-            logs.failure("exchange-failed", error)
+            logs.failure("exchange_failed", error)
             return None
         self.count("answered")
         return answer
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -85,7 +85,7 @@
         for pool in (self.runs, self.polls, self.bulk, self.control):
             pool.shutdown(wait=False, cancel_futures=True)
         self.upstream.close()
-        logs.event("process-stopped", **self.counts)
+        logs.event("process_stopped", **self.counts)
 
     # What happens
 
@@ -104,7 +104,7 @@
             message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
-            logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
+            logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
             return
         if type(message) is messages.Forward:
             self.take(events.Arrived(message))
@@ -205,7 +205,7 @@
             retry_at = error.retry_at or 0
             self.post(events.Failed(key, error.reason, error.may_have_run, retry_at))
         else:
-            logs.failure("run-failed", error)
+            logs.failure("run_failed", error)
             self.post(events.Failed(key, EXECUTOR_FAILED, True))
 
     def on_poll_done(self, effect: effects.PollFeed, future: concurrent.futures.Future) -> None:
@@ -246,7 +246,7 @@
             self.post(events.TransferAnswered(sent.flow, future.result()))
             return
         if not isinstance(error, errors.EbonystileError):
-            logs.failure("transfer-failed", error)
+            logs.failure("transfer_failed", error)
         self.post(events.TransferFailed(sent.flow, sent.id, str(error)))
 
 
--- a/src/ebonystile/daemon/watch.py
+++ b/src/ebonystile/daemon/watch.py
@@ -46,7 +46,7 @@
             try:
                 read()
             except errors.PlatformError as error:
-                logs.event("platform-failed", level="WARNING", error=str(error))
+                logs.event("platform_failed", level="WARNING", error=str(error))
                 time.sleep(PAUSE_S)
 
     def read_values(self) -> None:
@@ -86,7 +86,7 @@
         changes = self.configuration.apply(update)
         for refusal in changes.refusals:
             logs.event(
-                "document-refused",
+                "document_refused",
                 level="ERROR",
                 key=refusal.key,
                 revision=refusal.revision,
--- a/src/ebonystile/loop.py
+++ b/src/ebonystile/loop.py
@@ -157,7 +157,7 @@
     def handle(number: int, _frame: typing.Any) -> None:
         name = signal.Signals(number).name
         if noted:
-            loop.post(lambda: logs.event("signal-again", signal=name))
+            loop.post(lambda: logs.event("signal_again", signal=name))
             return
         noted.append(name)
         loop.post(lambda: leave(name))
--- a/tests/test_operator_system.py
+++ b/tests/test_operator_system.py
@@ -97,7 +97,7 @@
     records = [json.loads(line) for line in lines]
     assert {r["flow"] for r in records} == {flow}
     names = [r["event"] for r in records]
-    expected = ["opened", "entered", "started", "answered", "fenced", "adopted", "handed-over"]
+    expected = ["opened", "entered", "started", "answered", "fenced", "adopted", "handed_over"]
     assert [name for name in names if name in expected] == expected
     requests = {r["request"] for r in records if r["event"] == "answered"}
     shown = run(running, "timeline", "--request", requests.pop(), "--upstream", home)
