Let both programs share how they read settings and tell errors; close flows in the path's tests

The teardown of tests/test_system.py took 20 s a test and ended in SIGKILL: the flows were left open, so each sidecar waited for a sibling to hand them to until the limit. The tests now close their flows, and the sidecars stop by themselves.

--- a/src/ebonystile/commands/operator.py
+++ b/src/ebonystile/commands/operator.py
@@ -3,10 +3,19 @@
 import click
 
 import ebonystile
-from ebonystile.commands import check, completion, explain, preview, reference, status, timeline
-
-
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+from ebonystile.commands import (
+    check,
+    completion,
+    explain,
+    preview,
+    reference,
+    shell,
+    status,
+    timeline,
+)
+
+
+@click.group(context_settings=shell.CONTEXT)
 @click.version_option(ebonystile.__version__, prog_name="ebonystile")
 def main():
     """Look at ebonystile from an operator's desk.
--- a/src/ebonystile/commands/shell.py
+++ b/src/ebonystile/commands/shell.py
@@ -13,6 +13,7 @@
 
 import click
 
+import ebonystile
 from ebonystile import clock, errors, settings
 from ebonystile.core import view
 from ebonystile.operator import client, directory, messages
@@ -23,6 +24,7 @@
 REFUSED = 2
 """Exit statuses: done; couldn't be done; settings, documents or the command line are wrong."""
 
+CONTEXT = {"help_option_names": ["-h", "--help"]}
 SETTINGS_VARIABLE = "EBONYSTILE_SETTINGS"
 
 
@@ -44,6 +46,24 @@
     return command
 
 
+def program(name: str) -> abc.Callable:
+    """Return a decorator that makes a function of a settings file the command of a program."""
+
+    def decorate(function: abc.Callable) -> click.Command:
+        command = telling_errors(function)
+        command = click.version_option(ebonystile.__version__, prog_name=name)(command)
+        command = click.option(
+            "--settings",
+            "path",
+            required=True,
+            type=click.Path(dir_okay=False),
+            help="Settings file, JSON with comments.",
+        )(command)
+        return click.command(name, context_settings=CONTEXT)(command)
+
+    return decorate
+
+
 class AddressType(click.ParamType):
     """An address on the command line, as ip:port."""
 
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -40,6 +40,7 @@
     assert len(whole.body) == 100_000
     feed = flow.subscribe("balances")
     assert [feed.next(soon()).position for _ in range(5)] == [1, 2, 3, 4, 5]
+    flow.close()
 
 
 def test_sigterm_of_a_sidecar_moves_its_flow(running):
@@ -59,3 +60,4 @@
     assert flow.request("demands", b"2", soon(), idempotent=False).status == 200
     positions = [feed.next(soon()).position for _ in range(20)]
     assert positions == list(range(first + 1, first + 21))
+    flow.close()
