--- a/src/ebonystile/daemon/watch.py
+++ b/src/ebonystile/daemon/watch.py
@@ -46,7 +46,7 @@
             try:
                 read()
             except errors.PlatformError as error:
-                logs.event("platform-failed", level="WARNING", error=str(error))
+                logs.event("platform_failed", level="WARNING", error=str(error))
                 time.sleep(PAUSE_S)
 
     def read_values(self) -> None:
@@ -73,12 +73,20 @@
         empty = store.Delta(0, 0, 0, ())
         self.owner.post(functools.partial(self.apply, configuration.Update(empty, delta)))
 
+    def refusals(self) -> tuple[str, ...]:
+        """Return the faults of every document that is refused now; for the owner thread."""
+        return tuple(
+            f"{refusal.key} at revision {refusal.revision}: {fault}"
+            for refusal in self.configuration.refused
+            for fault in refusal.faults
+        )
+
     def apply(self, update: configuration.Update) -> None:
         """Take in an answer, in the owner thread."""
         changes = self.configuration.apply(update)
         for refusal in changes.refusals:
             logs.event(
-                "document-refused",
+                "document_refused",
                 level="ERROR",
                 key=refusal.key,
                 revision=refusal.revision,
