--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -19,7 +19,6 @@
     caller_messages.TO_CALLER,
     operator_messages.OPERATOR,
     operator_messages.RECORDS,
-    peer_messages.PACKET_PATH,
 ]
 KINDS = [(family, message_type) for family in FAMILIES for message_type in family.names]
 
@@ -106,3 +105,39 @@
     for family in FAMILIES:
         with pytest.raises(errors.DatagramError):
             family.decode(data)
+
+
+ADDRESSES = st.tuples(st.ip_addresses(v=4).map(str), st.integers(0, 65_535))
+KEYS = st.lists(st.integers(0, 2**64 - 1), max_size=peer_messages.MAX_VISITED).map(tuple)
+FORWARDS = st.builds(
+    peer_messages.Forward, ADDRESSES, ADDRESSES, KEYS, st.binary(max_size=peer_messages.KEY_BYTES)
+)
+RETURNS = st.builds(peer_messages.Return, ADDRESSES, st.binary(max_size=99))
+
+
+@given(FORWARDS)
+def test_every_forward_survives_the_wire_and_a_cut_header_does_not(message):
+    content = peer_messages.pack_forward(message)
+    assert peer_messages.unpack(content) == message
+    header = len(content) - len(message.payload)
+    for cut in range(header):
+        with pytest.raises(errors.DatagramError):
+            peer_messages.unpack(content[:cut])
+
+
+@given(RETURNS)
+def test_every_return_survives_the_wire_and_a_cut_header_does_not(message):
+    content = peer_messages.pack_return(message)
+    assert peer_messages.unpack(content) == message
+    for cut in range(len(content) - len(message.payload)):
+        with pytest.raises(errors.DatagramError):
+            peer_messages.unpack(content[:cut])
+
+
+@given(st.binary(max_size=200))
+def test_foreign_content_of_the_packet_path_is_refused_or_whole(content):
+    with contextlib.suppress(errors.DatagramError):
+        message = peer_messages.unpack(content)
+        is_forward = isinstance(message, peer_messages.Forward)
+        pack = peer_messages.pack_forward if is_forward else peer_messages.pack_return
+        assert pack(message) == content
--- a/tests/test_seal.py
+++ b/tests/test_seal.py
@@ -36,7 +36,7 @@
     yield seal.Seal([seal.Key(1, bytes(32))], 7).seal([1])
 
 
-@pytest.mark.parametrize("data", damaged())
+@pytest.mark.parametrize("data", list(damaged()))
 def test_damaged_and_forged_datagrams_do_not_open(data):
     with pytest.raises(errors.DatagramError):
         make(OLD).open(data)
