--- a/benches/__init__.py
+++ b/benches/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the decision cores and the daemons; each bench prints JSON lines (`scripts/bench`)."""
+"""Measure the project: each module is run by `scripts/bench NAME` and prints JSON lines."""
--- a/src/ebonystile/core/membership.py
+++ b/src/ebonystile/core/membership.py
@@ -265,6 +265,12 @@
             oldest = min(self.members, key=lambda name: self.members[name].heard_at)
             del self.members[oldest]
 
+    def suspected(self) -> tuple[str, ...]:
+        """Return the names of those that are suspected or count as dead."""
+        return tuple(
+            sorted(n for n, m in self.members.items() if m.statement.state >= State.SUSPECT)
+        )
+
     def names(self, role: str) -> list[str]:
         """Return everyone of a role but this process, by the list and by their own word."""
         listed = (n for n, e in self.listed.items() if e.value and e.value.role == role)
--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -6,7 +6,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import balancer, view
-from ebonystile.daemon import control, server
+from ebonystile.daemon import answers, control, reporting, server
 from ebonystile.peer import messages, seal
 
 QUIET_MS = 1_000
@@ -26,13 +26,30 @@
         self.callers = self.loop.listen(config.listen, self.on_caller)
         self.peers = self.loop.listen(config.address, self.on_peer)
         self.leave_by = 0
+        self.leaving = ""
         self.heard_at = clock.now()
+        identity = answers.Identity(
+            config.name, answers.BALANCER, config.zone, self.incarnation, self.heard_at
+        )
+        self.report = reporting.make_reporter(
+            identity, self.core, self.loop, self.counts, config.event_limit, self.surroundings
+        )
         self.behind = True
         self.control = control.Control(
-            self.loop, config, "balancer", self.incarnation, self.on_view, self.on_behind
+            self.loop,
+            config,
+            "balancer",
+            self.incarnation,
+            self.on_view,
+            self.on_behind,
+            self.report.event,
         )
         self.server = server.serve(
-            config.address, self.control.handlers(), lambda: b"", healthy=self.healthy
+            config.address,
+            {**self.control.handlers(), **self.report.handlers(config.keys)},
+            self.report.metrics.text,
+            healthy=self.healthy,
+            connection_limit=config.tcp_connection_limit,
         )
         self.control.start(self.seal, self.peers)
         self.loop.every(200, self.tick)
@@ -40,11 +57,11 @@
 
     def run(self) -> None:
         """Run until the process has left."""
-        logs.event("started", listen=":".join(map(str, self.config.listen)))
+        self.report.event("process_started", listen=":".join(map(str, self.config.listen)))
         self.loop.run()
         self.control.stop()
         self.server.stop()
-        logs.event("stopped", **self.counts)
+        logs.event("process_stopped", **self.counts)
 
     def healthy(self) -> bool:
         """Whether the balancer has a configuration and is not leaving, for `/healthz`."""
@@ -54,23 +71,32 @@
         """Route nothing by an old view after a pause; callers retry through other balancers."""
         self.behind = True
 
+    def surroundings(self) -> answers.Surroundings:
+        """Return what operators see of the shell."""
+        return answers.Surroundings(
+            queued=len(self.loop.inbox),
+            leaving=self.leaving,
+            suspected=self.control.suspected(),
+            refusals=self.control.refusals(),
+        )
+
     def on_view(self, newer: view.View) -> None:
         """Route by a newer view from now on."""
         self.behind = False
         before = self.core.view.revision
         if balancer.change_view(self.core, newer) and newer.revision != before:
-            logs.event("configured", revision=newer.revision)
+            self.report.event("configured", revision=newer.revision)
 
     def on_caller(self, payload: bytes, caller: view.Address) -> None:
         """Route a caller's datagram."""
-        self.heard_at = clock.now()
+        self.heard_at = self.loop.now
         if self.behind:
             self.counts["dropped_behind"] += 1
             return
-        action = balancer.route(self.core, caller, payload, self.heard_at)
+        action = balancer.route(self.core, caller, payload, self.loop.now)
         if type(action) is balancer.Relay:
-            body = messages.PACKET_PATH.to_items(action.forward)
-            loop.send(self.peers, self.seal.seal(body), action.address)
+            content = messages.pack_forward(action.forward)
+            loop.send(self.peers, self.seal.seal_content(content), action.address)
             self.counts["relayed"] += 1
         elif type(action) is balancer.Reply:
             loop.send(self.callers, action.payload, action.caller)
@@ -84,18 +110,19 @@
             opened = self.seal.open(data)
             if self.control.on_opened(opened, source):
                 return
-            message = messages.PACKET_PATH.from_items(opened.body)
+            message = messages.unpack(opened.content)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
-            logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
+            logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
             return
         if type(message) is messages.Return:
-            loop.send(self.callers, message.payload, tuple(message.caller))
+            loop.send(self.callers, message.payload, message.caller)
             self.counts["returned"] += 1
 
     def leave(self, reason: str) -> None:
         """Go on relaying until the fabric hands over no more packets, or time is up."""
-        logs.event("leaving", reason=reason)
+        self.report.event("leaving", reason=reason)
+        self.leaving = reason
         self.heard_at = clock.now()
         self.leave_by = self.heard_at + self.config.drain_ms
         self.control.leave()
--- a/src/ebonystile/daemon/control.py
+++ b/src/ebonystile/daemon/control.py
@@ -30,10 +30,16 @@
 PATH = "/control"
 """Path of the websocket over which pulls with large answers go."""
 
+CBOR_ARRAY = 4
+"""Major type of a CBOR array (RFC 8949): the first byte of the packet path is never one."""
+
 TICK_MS = 100
 SERVE_S = 2
 """Longest time that a peer's pull waits for the owner thread, in seconds."""
 
+LEVELS = {"document_refused": "ERROR", "catch_up_waiting": "WARNING", "platform_older": "WARNING"}
+"""Levels of the events that operators should look at; the others are INFO."""
+
 PLATFORM_THREADS = 3
 FETCH_THREADS = 2
 
@@ -111,13 +117,24 @@
         """
         if opened.revision > self.core.configuration.digest.values:
             self.take(spread.Shown(source, opened.revision))
-        kind = opened.body[0] if opened.body else 0
-        if type(kind) is not int or kind not in control.CONTROL.by_kind:
+        if not opened.content or opened.content[0] >> 5 != CBOR_ARRAY:
             return False
-        message = control.CONTROL.from_items(opened.body)
-        self.take(spread.Arrived(source, message))
+        self.take(spread.Arrived(source, control.CONTROL.decode(opened.content)))
         return True
 
+    def suspected(self) -> tuple[str, ...]:
+        """Return the names of the processes that are suspected or count as dead."""
+        return self.core.membership.suspected()
+
+    def refusals(self) -> tuple[str, ...]:
+        """Return the faults of every document that is refused now, and names claimed twice."""
+        refused = tuple(
+            f"{refusal.key} at revision {refusal.revision}: {fault}"
+            for refusal in self.core.configuration.refused
+            for fault in refusal.faults
+        )
+        return refused + tuple(self.core.configuration.conflicts())
+
     def on_pull(self, question: bytes) -> bytes:
         """Answer a peer's pull; runs in a thread of the server."""
         body = self.bulk_seal.open(question, replayable=True).body
@@ -162,9 +179,9 @@
             self.post(future.result())
             return
         if not isinstance(error, errors.EbonystileError):
-            logs.failure("platform-call-failed", error)
+            logs.failure("platform_call_failed", error)
         else:
-            self.notice("platform-failed", level="WARNING", stream=stream, error=str(error))
+            self.notice("platform_failed", level="WARNING", stream=stream, error=str(error))
         self.post(spread.PlatformFailed(stream))
 
     def fetch(self, effect: spread_state.Fetch) -> spread.Fetched:
@@ -188,9 +205,9 @@
             self.post(future.result())
             return
         if not isinstance(error, errors.EbonystileError):
-            logs.failure("pull-failed", error)
+            logs.failure("pull_failed", error)
         else:
-            self.notice("pull-failed", level="DEBUG", error=str(error))
+            self.notice("pull_failed", level="DEBUG", error=str(error))
         self.post(spread.FetchFailed(nonce))
 
 
@@ -248,4 +265,5 @@
 
 @carry_out.register
 def _(effect: effects.Trace, shell):
-    shell.notice(effect.event.replace("_", "-"), **dict(effect.fields))
+    level = LEVELS.get(effect.event, "INFO")
+    shell.notice(effect.event, level=level, **dict(effect.fields))
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import effects, events, sidecar, state, view
-from ebonystile.daemon import control, server
+from ebonystile.daemon import answers, control, reporting, server
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -55,11 +55,35 @@
         self.asking_health = False
         self.loop = loop.Loop()
         self.peers = self.loop.listen(config.address, self.on_peer)
+        identity = answers.Identity(
+            config.name, answers.SIDECAR, config.zone, self.incarnation, now
+        )
+        self.report = reporting.make_reporter(
+            identity, self.core, self.loop, self.counts, config.event_limit, self.surroundings
+        )
+        self.run_time = self.report.metrics.latency(
+            "run_seconds", "Time from handing a request to the upstream to its answer."
+        )
         self.control_plane = control.Control(
-            self.loop, config, "upstream", self.incarnation, self.on_view, self.on_behind
+            self.loop,
+            config,
+            "upstream",
+            self.incarnation,
+            self.on_view,
+            self.on_behind,
+            self.report.event,
+        )
+        self.server = server.serve(
+            config.address,
+            {
+                TRANSFER_PATH: self.on_transfer,
+                **self.control_plane.handlers(),
+                **self.report.handlers(config.keys),
+            },
+            self.report.metrics.text,
+            healthy=self.healthy,
+            connection_limit=config.tcp_connection_limit,
         )
-        handlers = {TRANSFER_PATH: self.on_transfer, **self.control_plane.handlers()}
-        self.server = server.serve(config.address, handlers, lambda: b"", healthy=self.healthy)
         self.control_plane.start(self.seal, self.peers)
         self.loop.every(events.TICK_MS, self.tick)
         self.loop.every(config.health_poll_ms, self.ask_health)
@@ -67,14 +91,14 @@
 
     def run(self) -> None:
         """Run until the process has left."""
-        logs.event("started", address=":".join(map(str, self.config.address)))
+        self.report.event("process_started", address=":".join(map(str, self.config.address)))
         self.loop.run()
         self.control_plane.stop()
         self.server.stop()
         for pool in (self.runs, self.polls, self.bulk, self.control):
             pool.shutdown(wait=False, cancel_futures=True)
         self.upstream.close()
-        logs.event("stopped", **self.counts)
+        logs.event("process_stopped", **self.counts)
 
     # What happens
 
@@ -93,10 +117,10 @@
             opened = self.seal.open(data)
             if self.control_plane.on_opened(opened, source):
                 return
-            message = messages.PACKET_PATH.from_items(opened.body)
+            message = messages.unpack(opened.content)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
-            logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
+            logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
             return
         if type(message) is messages.Forward:
             self.take(events.Arrived(message))
@@ -107,7 +131,7 @@
 
     def on_behind(self) -> None:
         """Log that the view may be old; the core noticed the pause itself and holds new work."""
-        logs.event("behind")
+        self.report.event("behind")
 
     def on_transfer(self, question: bytes) -> bytes:
         """Answer a sidecar that hands a flow over; runs in a thread of the server."""
@@ -130,6 +154,12 @@
         """Return a transfer or its reply as it travels."""
         return self.bulk_seal.seal(transfer.TRANSFERS.to_items(message))
 
+    def surroundings(self) -> answers.Surroundings:
+        """Return what operators see of the shell."""
+        return answers.Surroundings(
+            suspected=self.control_plane.suspected(), refusals=self.control_plane.refusals()
+        )
+
     def healthy(self) -> bool:
         """Whether the process has a configuration and takes new work, for `/healthz`."""
         return self.core.view.revision > 0 and not self.core.leaving
@@ -149,7 +179,7 @@
 
     def leave(self, reason: str) -> None:
         """Finish what runs, hand over what stays, then end."""
-        logs.event("leaving", reason=reason)
+        self.report.event("stop_asked", reason=reason)
         self.leave_by = clock.now() + self.config.drain_ms
         self.control_plane.leave()
         self.take(events.Leave(reason))
@@ -181,8 +211,14 @@
             )
         return self.upstream.run(job)
 
-    def on_run_done(self, key: tuple[bytes, bytes], future: concurrent.futures.Future) -> None:
-        """Tell the core how a request ended."""
+    def on_run_done(
+        self, key: tuple[bytes, bytes], started: int, future: concurrent.futures.Future
+    ) -> None:
+        """Tell the core how a request that was handed over at `started` ended."""
+        if future.cancelled():
+            return
+        now = clock.now()
+        self.loop.post(functools.partial(self.run_time.record, now, now - started))
         error = future.exception()
         if error is None:
             reply = future.result()
@@ -191,7 +227,7 @@
             retry_at = error.retry_at or 0
             self.post(events.Failed(key, error.reason, error.may_have_run, retry_at))
         else:
-            logs.failure("run-failed", error)
+            logs.failure("run_failed", error)
             self.post(events.Failed(key, EXECUTOR_FAILED, True))
 
     def on_poll_done(self, effect: effects.PollFeed, future: concurrent.futures.Future) -> None:
@@ -232,7 +268,7 @@
             self.post(events.TransferAnswered(sent.flow, future.result()))
             return
         if not isinstance(error, errors.EbonystileError):
-            logs.failure("transfer-failed", error)
+            logs.failure("transfer_failed", error)
         self.post(events.TransferFailed(sent.flow, sent.id, str(error)))
 
 
@@ -244,14 +280,14 @@
 
 @carry_out.register
 def _(effect: effects.ToCaller, daemon):
-    body = messages.PACKET_PATH.to_items(messages.Return(effect.caller, effect.payload))
-    loop.send(daemon.peers, daemon.seal.seal(body), effect.balancer)
+    content = messages.pack_return(messages.Return(effect.caller, effect.payload))
+    loop.send(daemon.peers, daemon.seal.seal_content(content), effect.balancer)
 
 
 @carry_out.register
 def _(effect: effects.ToSidecar, daemon):
-    body = messages.PACKET_PATH.to_items(effect.forward)
-    loop.send(daemon.peers, daemon.seal.seal(body), effect.address)
+    content = messages.pack_forward(effect.forward)
+    loop.send(daemon.peers, daemon.seal.seal_content(content), effect.address)
 
 
 @carry_out.register
@@ -260,7 +296,7 @@
         effect.key[1], effect.service, effect.path, effect.body, effect.deadline, effect.idempotent
     )
     future = daemon.runs.submit(daemon.hand_over_request, job)
-    future.add_done_callback(functools.partial(daemon.on_run_done, effect.key))
+    future.add_done_callback(functools.partial(daemon.on_run_done, effect.key, clock.now()))
 
 
 @carry_out.register
@@ -289,13 +325,13 @@
 
 @carry_out.register
 def _(effect: effects.Trace, daemon):
-    daemon.counts[effect.event] += 1
-    fields = dict(effect.fields)
-    if effect.flow:
-        fields["flow"] = effect.flow
-    if effect.request:
-        fields["request"] = effect.request
-    logs.event(effect.event.replace("_", "-"), level="DEBUG", **fields)
+    daemon.report.event(
+        effect.event,
+        level=reporting.DETAIL,
+        flow=effect.flow,
+        request=effect.request,
+        **dict(effect.fields),
+    )
 
 
 def make_limits(config: settings.SidecarSettings) -> state.Limits:
