--- a/src/ebonystile/core/assembly.py
+++ b/src/ebonystile/core/assembly.py
@@ -141,7 +141,7 @@
 
     def pack(self, labels: dict[str, str]) -> tuple[Pair, ...]:
         """Return labels as a sorted tuple, one object for all instances that have the same."""
-        pairs = tuple((sys.intern(k), sys.intern(v)) for k, v in sorted(labels.items()))
+        pairs = tuple(self.share((sys.intern(k), sys.intern(v))) for k, v in sorted(labels.items()))
         return self.share(pairs)
 
     def share(self, item: tuple[typing.Any, ...]) -> tuple[typing.Any, ...]:
@@ -241,7 +241,7 @@
             if endpoint is None:
                 endpoints.pop(key, None)
             elif endpoints.get(key) != endpoint:
-                endpoints[key] = endpoint
+                endpoints[endpoint.key] = endpoint
             elif before == after:
                 continue
             for service in before:
--- a/src/ebonystile/core/configuration.py
+++ b/src/ebonystile/core/configuration.py
@@ -245,12 +245,12 @@
         """Join the accepted entries; keys with a refusal are not deleted by their absence."""
         deleted = self.values.deleted_by(delta, self.refusals)
         for key in deleted:
-            del self.values.entries[key]
+            self.values.remove(key)
             self.put_document(key, None)
         changed = list(deleted)
         for key, entry in checked.entries:
             if self.restores(key, entry) or self.values.wants(key, entry):
-                self.values.entries[key] = entry
+                self.values.keep(key, entry)
                 changed.append(key)
                 self.settle(key, entry.revision)
         self.values.advance(checked)
--- a/src/ebonystile/core/store.py
+++ b/src/ebonystile/core/store.py
@@ -49,6 +49,7 @@
     complete: int = 0
     floor: int = 0
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
+    tombstones: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def wants(self, key: str, entry: Entry) -> bool:
         """Tell whether the entry is newer than what is known of its key.
@@ -65,9 +66,21 @@
         """Keep the entry if it is newer than what is known of its key."""
         if not self.wants(key, entry):
             return False
-        self.entries[key] = entry
+        self.keep(key, entry)
         return True
 
+    def keep(self, key: str, entry: Entry) -> None:
+        """Set a key's entry whatever is known of it."""
+        self.entries[key] = entry
+        self.tombstones.pop(key, None)
+        if entry.value is None:
+            self.tombstones[key] = entry.revision
+
+    def remove(self, key: str) -> None:
+        """Forget a key."""
+        del self.entries[key]
+        self.tombstones.pop(key, None)
+
     def delta(self, after: int, limit: int | None = None) -> Delta:
         """Return what a copy complete up to `after` lacks, oldest first.
 
@@ -104,24 +117,18 @@
 
     def trim(self) -> None:
         """Drop the oldest tombstones beyond the bound and raise the floor over them."""
-        tombstones = [
-            (entry.revision, key) for key, entry in self.entries.items() if entry.value is None
-        ]
-        floor = self.floor
-        if len(tombstones) > MAX_TOMBSTONES:
-            tombstones.sort()
-            oldest = tombstones[len(tombstones) - MAX_TOMBSTONES - 1][0]
-            floor = max(floor, min(oldest, self.complete))
-        self.floor = floor
-        for revision, key in tombstones:
-            if revision <= floor:
-                del self.entries[key]
+        if len(self.tombstones) > MAX_TOMBSTONES:
+            revisions = sorted(self.tombstones.values())
+            oldest = revisions[len(revisions) - MAX_TOMBSTONES - 1]
+            self.floor = max(self.floor, min(oldest, self.complete))
+        for key in [k for k, revision in self.tombstones.items() if revision <= self.floor]:
+            self.remove(key)
 
     def join(self, delta: Delta, kept: typing.Container[str] = ()) -> list[str]:
         """Take in a delta or snapshot and return the keys that changed."""
         changed = self.deleted_by(delta, kept)
         for key in changed:
-            del self.entries[key]
+            self.remove(key)
         changed += [key for key, entry in delta.entries if self.put(key, entry)]
         self.advance(delta)
         return changed
--- a/src/ebonystile/daemon/control.py
+++ b/src/ebonystile/daemon/control.py
@@ -10,6 +10,7 @@
 import random
 import secrets
 import socket
+import sys
 import typing
 from collections import abc
 
@@ -214,7 +215,8 @@
 def instance_of(entry: client.Instance) -> tuple[assembly.Instance, bool]:
     """Return an entry of the platform's list, and whether the instance is gone."""
     leaving = entry.state == "leaving"
-    instance = assembly.Instance(entry.name, entry.role, entry.address, entry.zone, leaving)
+    name, zone = sys.intern(entry.name), sys.intern(entry.zone)
+    instance = assembly.Instance(name, entry.role, entry.address, zone, leaving)
     return instance, entry.state == "gone"
 
 
--- a/src/ebonystile/peer/control.py
+++ b/src/ebonystile/peer/control.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import sys
 import typing
 import zlib
 
@@ -186,7 +187,10 @@
         unpack_delta(values_head, ((k, store.Entry(r, v)) for k, r, v in values)),
         unpack_delta(
             instances_head,
-            ((k, store.Entry(r, unpack_instance(k, i))) for k, r, i in instances),
+            (
+                (sys.intern(k), store.Entry(r, unpack_instance(sys.intern(k), i)))
+                for k, r, i in instances
+            ),
         ),
         tuple(configuration.Refusal(*refusal) for refusal in refusals),
     )
@@ -202,4 +206,7 @@
 
 def unpack_instance(name: str, packed: PackedInstance | None) -> assembly.Instance | None:
     """Return the instance called `name`."""
-    return assembly.Instance(name, *packed) if packed else None
+    if packed is None:
+        return None
+    role, address, zone, leaving = packed
+    return assembly.Instance(name, sys.intern(role), address, sys.intern(zone), leaving)
