Count as watchers those between two calls as well, in tests and the bench

The list of nodes whose call waits missed those in the gap between two calls, so 'all watchers killed' left a few alive. The tests pass with the stricter count too.

--- a/benches/fleet.py
+++ b/benches/fleet.py
@@ -16,6 +16,9 @@
 from ebonystile.peer import control
 
 TICK_MS = 200
+WATCHING_MS = 4_500
+"""Longest time between two calls of a watcher that is well: its wait and the gap after it."""
+
 START = 1_700_000_000_000
 SEAL_BYTES = 17 + 1 + 9 + 5 + 9
 """What the sealed envelope adds: key id, MAC, array, incarnation, sequence, revision."""
@@ -50,6 +53,7 @@
     alive: bool = True
     paused_until: int = 0
     platform_up: bool = True
+    called_at: int = 0
     ceiling: int = 1 << 62
     in_force_at: dict[int, int] = dataclasses.field(default_factory=dict)
     may_act: bool = False
@@ -254,6 +258,7 @@
     def call(self, node: Node, call: spread_state.WatchPlatform) -> None:
         """Take a call of the platform: answer, let it wait, or let it fail."""
         self.calls[call.stream] += 1
+        node.called_at = self.now
         if not self.platform_up or not node.platform_up:
             self.at(self.now + 50, self.post, node, spread.PlatformFailed(call.stream))
         elif min(self.streams[call.stream].revision, node.ceiling) > call.after:
@@ -293,6 +298,6 @@
             node.alive = False
 
     def watchers(self) -> list[Node]:
-        """Return the nodes whose calls wait at the platform now."""
-        waiting = {id(node): node for node, _ in self.waiting if node.alive}
-        return list(waiting.values())
+        """Return the nodes that have called the platform within the last few seconds."""
+        since = self.now - WATCHING_MS
+        return [n for n in self.names.values() if n.alive and n.called_at >= since]
