Keep stopped upstreams out of views; start only with the highest that is shown

Change: a process that the list shows as gone counts as dead until a newer start is heard; a process acts only when it has what answering peers show; a busy peer names others. Changes of the list are told on at most every 3 s. Ruled out: forgetting the gone at once (that let the news back in).

--- a/src/ebonystile/core/catching_up.py
+++ b/src/ebonystile/core/catching_up.py
@@ -43,6 +43,7 @@
         return
     if beat.caught_up:
         catch_up.peers_answered += 1
+    catch_up.highest = catch_up.highest.join(spread_state.digest_of(beat))
 
 
 def on_platform(spread: spread_state.Spread, stream: str, answered: bool) -> None:
@@ -52,24 +53,26 @@
 
 
 def on_tick(spread: spread_state.Spread, now: int) -> None:
-    """Finish once there is enough, or start another round."""
+    """Finish once there is enough, or start another round.
+
+    While a peer that answers shows more than this process has got, it does not act: callers may
+    have seen the newer configuration. A peer that dies meanwhile doesn't answer the next round.
+    """
     catch_up = spread.catch_up
     if catch_up is None:
         return
     by_platform = all(catch_up.platform.get(name) for name in watching.STREAMS)
-    heard_platform = len(catch_up.platform) == len(watching.STREAMS)
+    waiting = catch_up.asked or len(catch_up.platform) < len(watching.STREAMS)
     late = now >= catch_up.until
-    pulling_still = spread.pull is not None or bool(spread.ahead)
-    if not late and (catch_up.asked or not heard_platform or pulling_still):
-        return
-    if pulling_still and now < catch_up.until + spread.limits.start_bound:
-        # A peer has shown more: serving without it could revert what callers have seen.
+    if waiting and not late:
         return
-    if by_platform or catch_up.peers_answered:
+    behind = spread.configuration.digest.behind(catch_up.highest)
+    if not behind and (by_platform or catch_up.peers_answered):
         finish(spread, by_platform)
     elif late:
         if catch_up.rounds == 0:
-            spread.trace("catch_up_waiting", reason="neither the platform nor a peer answers")
+            reason = "a peer shows more" if behind else "neither the platform nor a peer answers"
+            spread.trace("catch_up_waiting", reason=reason)
         begin(spread, now, catch_up.rounds + 1)
 
 
--- a/src/ebonystile/core/membership.py
+++ b/src/ebonystile/core/membership.py
@@ -22,7 +22,7 @@
 MAX_NEWS = 64
 """Items of news waiting to be passed on; beyond it the oldest is dropped."""
 
-NEWS_PER_MESSAGE = 6
+NEWS_PER_MESSAGE = 4
 """Items of news in one message, about 60 bytes each."""
 
 
@@ -96,9 +96,9 @@
         self.tell(own.name)
 
     def tell(self, name: str) -> None:
-        """Queue what is known of `name` to be passed on, about three times log2 of the fleet."""
+        """Queue what is known of `name` to be passed on, about twice log2 of the fleet times."""
         self.news.pop(name, None)
-        self.news[name] = 3 * math.ceil(math.log2(len(self.members) + len(self.listed) + 2))
+        self.news[name] = 2 * math.ceil(math.log2(len(self.members) + len(self.listed) + 2))
         if len(self.news) > MAX_NEWS:
             self.news.popitem(last=False)
 
@@ -129,7 +129,7 @@
 
     def hear(self, statement: Statement, now: int) -> bool:
         """Take in what a process says of itself; return whether that is new."""
-        changed = self.learn(statement, now)
+        changed = self.learn(statement, now, by_itself=True)
         member = self.members.get(statement.name)
         if member is not None and member.statement.generation <= statement.generation:
             member.heard_at = now
@@ -149,19 +149,33 @@
         listed = self.instance_listed(statement.name) is not None
         return self.limits.forget if listed else self.limits.unlisted
 
-    def drop(self, name: str) -> None:
-        """Forget what was said of a process that the list now shows as gone."""
-        if self.members.pop(name, None) is not None:
+    def drop(self, name: str, now: int) -> None:
+        """Let a process that the list now shows as gone count as dead.
+
+        News of its former life still goes round. Forgetting the process would let that news put a
+        stopped upstream back into the view; held for dead, it takes a newer start to come back.
+        """
+        member = self.members.get(name)
+        if member is not None:
+            member.statement = dataclasses.replace(member.statement, state=State.DEAD)
+            member.until = now + self.limits.unlisted
             self.news.pop(name, None)
 
-    def learn(self, statement: Statement, now: int) -> bool:
-        """Take in a statement from anyone; return whether it changed what holds."""
+    def listed_as_gone(self, name: str) -> bool:
+        """Tell whether the list shows that the process has gone."""
+        entry = self.listed.get(name)
+        return entry is not None and entry.value is None
+
+    def learn(self, statement: Statement, now: int, *, by_itself: bool = False) -> bool:
+        """Take in a statement, of the process `by_itself` or not; return whether that is new."""
         if statement.name == self.own.name:
             return self.learn_of_self(statement, now)
         member = self.members.get(statement.name)
         if member is None:
             if statement.state is State.DEAD:
                 return False
+            if self.listed_as_gone(statement.name) and not by_itself:
+                return False
             self.make_room()
             member = Member(statement, now, 0)
             self.members[statement.name] = member
--- a/src/ebonystile/core/probing.py
+++ b/src/ebonystile/core/probing.py
@@ -32,9 +32,9 @@
         span = spread.limits.exchange * (1 if spread.is_balancer else SIDECAR_FACTOR)
         spread.exchange_at = now + span // 2 + spread.jitter(span)
         ask_random(spread, now)
-    if spread.rumour_due and now >= spread.rumour_at and spread.caught_up:
-        spread.rumour_due = False
-        spread.rumour_at = now + spread.limits.rumour_gap
+    if spread.rumour_at and now >= spread.rumour_at and spread.caught_up:
+        spread.rumour_at = 0
+        spread.told_at = now
         tell_random(spread)
     if now >= spread.prune_at:
         spread.prune_at = now + PRUNE_MS
--- a/src/ebonystile/core/pulling.py
+++ b/src/ebonystile/core/pulling.py
@@ -8,6 +8,9 @@
 MAX_AHEAD = 8
 """Peers remembered that have shown more; any one of them will do."""
 
+OTHERS = 4
+"""Peers named to one whose pull is refused."""
+
 KEY_BYTES = 16
 INSTANCE_BYTES = 30
 """Bytes of a key and of a listed instance in a packed update, about."""
@@ -78,11 +81,11 @@
     spread.pending.append(spread_state.Fetch(address, pull, wait_until))
 
 
-def forget(spread: spread_state.Spread, now: int, retry_at: int = 0) -> None:
+def forget(spread: spread_state.Spread, now: int) -> None:
     """End the pull under way and turn to another peer that has shown more."""
     spread.ahead.pop(spread.pull.address, None)
     spread.pull = None
-    spread.pull_at = max(retry_at, now + spread.jitter(spread.limits.pull_jitter))
+    spread.pull_at = now + spread.jitter(spread.limits.pull_jitter)
 
 
 def on_reply(
@@ -95,7 +98,7 @@
     before = spread.configuration.digest
     changes = spread.configuration.apply(update)
     if changes or spread.configuration.digest != before:
-        spread.note_changes(changes)
+        spread.note_changes(changes, now)
     spread.note_fresh(reply.fresh_as_of, now)
     if spread.pull is not None and spread.pull.nonce == reply.nonce:
         spread.pull = None
@@ -109,10 +112,21 @@
         fetch(spread, spread.pull.address, pull, now)
 
 
-def on_failed(spread: spread_state.Spread, nonce: int, now: int, retry_at: int = 0) -> None:
+def on_failed(spread: spread_state.Spread, nonce: int, now: int) -> None:
     """Turn to another peer."""
     if spread.pull is not None and spread.pull.nonce == nonce:
-        forget(spread, now, min(retry_at, now + spread.limits.exchange))
+        forget(spread, now)
+
+
+def on_busy(spread: spread_state.Spread, busy: control.Busy, now: int) -> None:
+    """Turn to the peers that a busy one names: a process that starts may know only its seeds."""
+    if spread.pull is None or spread.pull.nonce != busy.nonce:
+        return
+    digest = spread.ahead.get(spread.pull.address)
+    forget(spread, now)
+    if digest is not None:
+        for address in busy.others:
+            note_ahead(spread, address, digest, now)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,7 +144,7 @@
     update = spread.configuration.update_for(control.wanted_of(pull))
     size = estimate(update)
     if not spread.update_budget.take(size, now):
-        return control.Busy(pull.nonce, spread.update_budget.ready_at(size, now))
+        return busy(spread, pull, size, now)
     return Prepared(pull, spread.caught_up, spread.fresh_as_of, update)
 
 
@@ -160,5 +174,12 @@
     if len(reply.update) > control.DATAGRAM_BYTES:
         return control.TooLarge(pull.nonce)
     if not spread.update_budget.take(len(reply.update), now):
-        return control.Busy(pull.nonce, spread.update_budget.ready_at(len(reply.update), now))
+        return busy(spread, pull, len(reply.update), now)
     return reply
+
+
+def busy(spread: spread_state.Spread, pull: control.Pull, size: int, now: int) -> control.Busy:
+    """Return the refusal of a pull, with a few others to ask."""
+    names = membership.pick(spread.balancers, OTHERS, spread.randomness, set())
+    others = (spread.membership.address_of(n) for n in names if spread.membership.usable(n))
+    return control.Busy(pull.nonce, spread.update_budget.ready_at(size, now), tuple(others))
--- a/src/ebonystile/core/spread.py
+++ b/src/ebonystile/core/spread.py
@@ -184,7 +184,7 @@
         names = spread.configuration.apply_instances(event.delta)
         changes = configuration.Changes(instances=tuple(names))
     if changes or spread.configuration.digest != before:
-        spread.note_changes(changes)
+        spread.note_changes(changes, now)
     watching.on_read(spread, event.stream, event.delta, event.more, now)
     if not event.more:
         catching_up.on_platform(spread, event.stream, answered=not older)
@@ -199,7 +199,7 @@
 @on_event.register
 def _(event: Fetched, spread, now):
     if event.update is None:
-        pulling.on_failed(spread, event.reply.nonce, now, event.reply.retry_at)
+        pulling.on_busy(spread, event.reply, now)
     else:
         pulling.on_reply(spread, event.reply, event.update, now)
 
@@ -244,7 +244,7 @@
 
 @on_message.register
 def _(message: control.Busy, spread, address, now):
-    pulling.on_failed(spread, message.nonce, now, message.retry_at)
+    pulling.on_busy(spread, message, now)
 
 
 @on_message.register
--- a/src/ebonystile/core/spread_state.py
+++ b/src/ebonystile/core/spread_state.py
@@ -27,7 +27,8 @@
 
     exchange: between two questions to random peers.
     answer: until a peer counts as silent.
-    fanout, rumour_gap: peers told at once of a change, and the least time between two tellings.
+    fanout: peers told at once of a change.
+    rumour_gap, list_rumour_gap: least time between two tellings, and where only the list changed.
     pull_jitter, pull_timeout: before a pull, and until it is given up.
     watch, call_margin: wait of one watch of the platform, and how much longer its call may take.
     call_gap, instances_gap: least time between two reads of the values, and of the list.
@@ -48,6 +49,7 @@
     answer: int = 700
     fanout: int = 4
     rumour_gap: int = 1_000
+    list_rumour_gap: int = 3_000
     pull_jitter: int = 100
     pull_timeout: int = 1_000
     watch: int = 2_000
@@ -66,7 +68,7 @@
     solo_rate: int = 50
     start_bound: int = 4_000
     pause_bound: int = 2_000
-    update_rate: int = 6_000
+    update_rate: int = 3_000
     update_burst: int = 4_000_000
 
 
@@ -149,6 +151,7 @@
     until: int
     asked: dict[int, view.Address] = dataclasses.field(default_factory=dict)
     peers_answered: int = 0
+    highest: configuration.Digest = configuration.Digest()
     platform: dict[str, bool] = dataclasses.field(default_factory=dict)
     rounds: int = 0
 
@@ -180,7 +183,7 @@
     roster_stale: bool = True
     exchange_at: int = 0
     rumour_at: int = 0
-    rumour_due: bool = False
+    told_at: int = 0
     prune_at: int = 0
     fill_at: int = 0
     ahead: dict[view.Address, configuration.Digest] = dataclasses.field(default_factory=dict)
@@ -245,7 +248,7 @@
         if as_of > self.own_fresh:
             self.others_fresh = max(self.others_fresh, as_of)
 
-    def note_changes(self, changes: configuration.Changes) -> None:
+    def note_changes(self, changes: configuration.Changes, now: int) -> None:
         """Pass on what an update changed: to the shell, to the peers, to the time line."""
         for refusal in changes.refusals:
             self.trace(
@@ -256,11 +259,13 @@
             )
         for name in changes.instances:
             if self.membership.instance_listed(name) is None:
-                self.membership.drop(name)
+                self.membership.drop(name, now)
             self.configuration.say(name, self.membership.overlay(name))
         self.roster_stale = self.roster_stale or bool(changes.instances)
         self.changed = True
-        self.rumour_due = True
+        gap = self.limits.rumour_gap if changes.keys else self.limits.list_rumour_gap
+        due = max(now, self.told_at + gap)
+        self.rumour_at = min(self.rumour_at or due, due)
 
     def note_members(self, names: typing.Iterable[str]) -> None:
         """Let what is now known of these processes go into the view."""
--- a/src/ebonystile/peer/control.py
+++ b/src/ebonystile/peer/control.py
@@ -77,11 +77,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Busy:
-    """Say that the budget for updates is spent until `retry_at` (ms)."""
+    """Say that the budget for updates is spent until `retry_at` (ms), and whom to ask instead."""
 
     KIND: typing.ClassVar[int] = 68
     nonce: int
     retry_at: int
+    others: tuple[Address, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -119,6 +119,23 @@
     assert f.run(60 * SECOND, lambda: f.everyone(1))
 
 
+def test_start_waits_where_peers_show_more_than_they_can_give():
+    """The platform is down and the seeds have spent their budget for updates.
+
+    A process that then served with nothing would refuse every caller; one that starts must go to
+    the peers which the busy ones name.
+    """
+    f = make_fleet()
+    f.platform_up = False
+    for name in ("b0", "b1"):
+        allowance = f.names[name].core.update_budget
+        allowance.full_at = f.now + 1_000 * allowance.burst // allowance.rate + 60 * SECOND
+    node = f.add("late", seeds=["b0", "b1"], listed=False)
+    assert f.run(20 * SECOND, lambda: node.may_act)
+    assert min(node.in_force_at) == 1
+    assert app_of(node) == "first"
+
+
 def test_region_cut_off_for_an_hour_comes_back():
     """One region sees neither the others nor the platform for an hour, then both again.
 
@@ -197,6 +214,26 @@
             assert [e.leaving for e in endpoints] == [True]
 
 
+def test_upstream_that_stopped_stays_out_of_every_view():
+    """Upstreams leave, stop and are taken off the list, while news of them still goes round.
+
+    A balancer that took that news for life would send callers to upstreams that are no more.
+    """
+    f = make_fleet(6)
+    sidecars = [f.add(f"line-{i}", role="upstream", seeds=["b0", "b1"]) for i in range(12)]
+    f.run(10 * SECOND)
+    for node in sidecars[:6]:
+        f.list_instance(node, leaving=True)
+        f.run(2 * SECOND)
+        f.kill(node)
+        f.list_instance(node, gone=True)
+    f.run(10 * SECOND)
+    for node in f.names.values():
+        if node.alive:
+            shown = {e.name for e in node.core.configuration.view.endpoints.values()}
+            assert shown == {f"line-{i}" for i in range(6, 12)}
+
+
 def test_process_replaced_under_its_name_yields():
     """A process wakes after its replacement, of the same name, has started elsewhere."""
     f = make_fleet(6)
