--- a/benches/control.py
+++ b/benches/control.py
@@ -36,11 +36,11 @@
 
 
 def rss_mb(pid: int | str = "self") -> float:
-    """Return the resident memory of a process in MB."""
+    """Return the resident memory of a process in MB; raise if it has ended."""
     for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) / 1024
-    return 0.0
+    raise ProcessLookupError(f"process {pid} has ended")
 
 
 def cpu_s(pid: int) -> float:
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -120,6 +120,25 @@
     wait_until(lambda: healthy(paused))
 
 
+def test_process_that_does_not_answer_is_suspected_and_nothing_else_happens(fleet):
+    """The list names balancers that never answer: they died, or a partition is in the way.
+
+    The others suspect them, tell operators so, and go on.
+    """
+    for number in range(2):
+        fleet.system.enlist(f"ghost-{number}", "balancer", system.free_port(), ZONE)
+    path = "ebonystile_events_total"
+    for entry in fleet.system.balancers.values():
+        wait_until(lambda entry=entry: f'{path}{{event="suspected"}}' in metrics_of(entry))
+        assert healthy(entry)
+
+
+def metrics_of(entry):
+    """Return the metrics of a process."""
+    url = f"http://127.0.0.1:{entry.port}/metrics"
+    return system.HTTP.request("GET", url).data.decode()
+
+
 def healthy(entry):
     """Tell whether the process says that it may be handed packets."""
     url = f"http://127.0.0.1:{entry.port}/healthz"
