--- /dev/null
+++ b/src/ebonystile/commands/call.py
@@ -0,0 +1,80 @@
+"""Call a service as a caller does: `ebonystile call`."""
+
+import contextlib
+import sys
+
+import click
+
+from ebonystile import clock, errors
+from ebonystile.caller import client
+from ebonystile.commands import shell
+
+NOT_RUN = 3
+OUTCOME_UNKNOWN = 4
+"""Exit statuses: the request surely was not run; nobody can tell whether it was."""
+
+
+@click.command("call")
+@click.argument("service")
+@click.argument("path")
+@click.option(
+    "--balancer",
+    "balancers",
+    multiple=True,
+    required=True,
+    type=shell.AddressType(),
+    help="Address that packets go to; repeat it for more, each packet takes any of them.",
+)
+@click.option("--data", default="", help="The request's body as text.")
+@click.option("--file", type=click.File("rb"), help="Read the body from a file; - for stdin.")
+@click.option(
+    "--idempotent/--once",
+    default=False,
+    help="Whether running the request twice does no harm; --once is assumed.",
+)
+@click.option("--deadline-ms", type=click.IntRange(1), default=10_000, show_default=True)
+@click.option("--feed", is_flag=True, help="Follow PATH as a feed instead: one line an event.")
+@click.option("--position", type=click.IntRange(0), default=0, help="Last event already known.")
+@click.option("--count", type=click.IntRange(1), help="End after this many events.")
+@shell.telling_errors
+def show(service, path, balancers, data, file, idempotent, deadline_ms, feed, position, count):
+    """Send one request to SERVICE and print the answer, or follow a feed.
+
+    Exit status: 0 answered, 1 it could not be done, 2 wrong use, 3 the request was not run and
+    never will be (the line tells when to come back), 4 nobody can tell whether it was run.
+    """
+    deadline = clock.now() + deadline_ms
+    with contextlib.closing(client.make_caller(balancers)) as caller:
+        flow = caller.open(service, deadline)
+        if feed:
+            follow(flow.subscribe(path, position), deadline_ms, count)
+        else:
+            body = file.read() if file else data.encode()
+            request(flow, path, body, deadline, idempotent)
+
+
+def request(flow: client.Flow, path: str, body: bytes, deadline: int, idempotent: bool) -> None:
+    """Send one request; print the answer, or say what became of it."""
+    try:
+        answer = flow.request(path, body, deadline, idempotent=idempotent)
+    except errors.NotRunError as error:
+        wait = max(0, error.retry_at - clock.now())
+        click.echo(f"not run: {error.reason}; come back in {wait} ms", err=True)
+        raise click.exceptions.Exit(NOT_RUN) from error
+    except errors.OutcomeUnknownError as error:
+        click.echo(f"outcome unknown: {error.reason}", err=True)
+        raise click.exceptions.Exit(OUTCOME_UNKNOWN) from error
+    sys.stdout.buffer.write(answer.body)
+    sys.stdout.buffer.flush()
+
+
+def follow(feed: client.Feed, silence_ms: int, count: int | None) -> None:
+    """Print events, a line each, until `count` came or none did for `silence_ms`."""
+    printed = 0
+    while count is None or printed < count:
+        event = feed.next(clock.now() + silence_ms)
+        if event is None:
+            reason = f"no event for {silence_ms} ms"
+            raise errors.CallError(reason, step="follow feed", peer=feed.flow.core.service)
+        click.echo(f"{event.position} {event.body.decode(errors='replace')}")
+        printed += 1
--- a/src/ebonystile/commands/operator.py
+++ b/src/ebonystile/commands/operator.py
@@ -4,6 +4,7 @@
 
 import ebonystile
 from ebonystile.commands import (
+    call,
     check,
     completion,
     explain,
@@ -33,6 +34,7 @@
 main.add_command(explain.show)
 main.add_command(timeline.show)
 main.add_command(reference.show)
+main.add_command(call.show)
 main.add_command(completion.completion)
 
 
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -1,9 +1,11 @@
 """Follow callers through real processes: platform, balancers, sidecars and upstreams."""
 
 import pytest
+from click import testing
 
 from ebonystile import clock
 from ebonystile.caller import client
+from ebonystile.commands import call, operator
 from standins import system
 
 ZONE = "caudan"
@@ -61,3 +63,18 @@
     positions = [feed.next(soon()).position for _ in range(20)]
     assert positions == list(range(first + 1, first + 21))
     flow.close()
+
+
+def run_call(running, *arguments):
+    """Run `ebonystile call` and return its result."""
+    balancers = [f"--balancer=127.0.0.1:{b.listen}" for b in running.balancers.values()]
+    return testing.CliRunner().invoke(operator.main, ["call", *arguments, *balancers])
+
+
+def test_call_command(running):
+    answered = run_call(running, "ledger", "answers/5000", "--idempotent")
+    assert (answered.exit_code, len(answered.stdout_bytes)) == (0, 5_000)
+    events = run_call(running, "ledger", "balances", "--feed", "--position=3", "--count=4")
+    assert [line.split()[0] for line in events.stdout.splitlines()] == ["4", "5", "6", "7"]
+    refused = run_call(running, "archive", "photos", "--deadline-ms=300")
+    assert refused.exit_code == call.NOT_RUN
