--- a/src/ebonystile/upstream/client.py
+++ b/src/ebonystile/upstream/client.py
@@ -32,7 +32,10 @@
 WAIT_MARGIN_MS = 2000
 """Time beyond the end of a long poll after which the answer is given up, in milliseconds."""
 
-CONTROL_CONNECTIONS = 2
+CONTROL_CONNECTIONS = 4
+
+FEED_CONNECTIONS = 32
+"""Kept connections for long polls; more are opened at need, but not kept."""
 
 NO_ANSWER = frozenset({421, 499, 502, 503, 504})
 """Statuses that say that the service gave no answer; every other one is the service's answer."""
@@ -102,7 +105,7 @@
         self.url = url
         self.now = now
         self.work = webclient.Client(url, connections, block=True, now=now)
-        self.feeds = webclient.Client(url, connections, block=False, now=now)
+        self.feeds = webclient.Client(url, FEED_CONNECTIONS, block=False, now=now)
         self.control = webclient.Client(url, CONTROL_CONNECTIONS, block=False, now=now)
 
     def run(self, job: Job) -> Reply:
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,210 @@
+"""Replace every upstream and every balancer while both users' callers go on, and judge the run.
+
+Progress goes to standard error; the last line on standard output is one JSON object. The exit
+status is 1 if a promise broke. `scripts/demo` runs it.
+"""
+
+import argparse
+import concurrent.futures
+import contextlib
+import dataclasses
+import json
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+
+from standins import fleet, processes, verdict
+
+BALANCERS = 3
+STEADY_SECONDS = 8.0
+"""How long the callers work before the first and after the last replacement; imbalance of slot
+time is measured in these times."""
+
+RECORD_SECONDS = 60.0
+
+USERS = {
+    "line-status": ("--feeds", 56, "--kind", "report", "--bulk-share", 0.1),
+    "photo": ("--uploads", 6, "--upload-every", 2.5, "--least", 1_000_000, "--most", 3_000_000),
+    "ledger": ("--feeds", 42, "--kind", "demand", "--bulk-share", 0.1),
+    "evidence": ("--uploads", 4, "--upload-every", 2.0, "--least", 200_000, "--most", 900_000),
+}
+"""The users of each service; neither a report nor a demand may be run twice."""
+
+
+class Demo:
+    """One run of the demo."""
+
+    def __init__(self, children: processes.Children, folder: pathlib.Path, small: bool):
+        self.children = children
+        self.small = small
+        self.services = fleet.SERVICES[:1] if small else fleet.SERVICES
+        self.fleet = fleet.Fleet(children, folder)
+        self.users: list[processes.Child] = []
+        self.began = time.monotonic()
+        self.upstreams_replaced = 0
+        self.balancers_replaced = 0
+
+    def say(self, text: str) -> None:
+        """Print progress."""
+        print(f"{time.monotonic() - self.began:6.1f} s  {text}", file=sys.stderr, flush=True)
+
+    def run(self) -> dict:
+        """Run everything and return the figures."""
+        self.start_system()
+        self.start_users()
+        evening = self.measure(STEADY_SECONDS)
+        self.replace_all()
+        self.say("letting callers go on for a while after the night")
+        morning = self.measure(STEADY_SECONDS)
+        records = self.stop_users()
+        self.say("stopping the system and collecting the upstreams' counts")
+        self.fleet.stop_all()
+        return self.figures(records, evening, morning)
+
+    def size(self, service: fleet.Service) -> int:
+        """Return how many upstreams the service gets."""
+        return 2 if self.small else service.upstreams
+
+    def start_system(self) -> None:
+        """Start platform, balancers, upstreams and sidecars."""
+        self.say("starting platform, balancers, upstreams and sidecars")
+        self.fleet.publish_services(self.services)
+        for number in range(BALANCERS):
+            zones = fleet.NORRLAND + fleet.PORT_LOUIS
+            self.fleet.add_balancer(f"entry-{number + 1}", zones[number * 3 % len(zones)])
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            started = [
+                pool.submit(
+                    self.fleet.add_upstream,
+                    service,
+                    f"{service.name}-{number + 1}",
+                    service.zones[number % len(service.zones)],
+                )
+                for service in self.services
+                for number in range(self.size(service))
+            ]
+            for future in started:
+                future.result()
+        self.say(f"{len(self.fleet.upstreams)} upstreams with sidecars are up")
+
+    def start_users(self) -> None:
+        """Start the callers and give them the fabric's list of balancers."""
+        fixed = (
+            *("--feed-start", self.fleet.feed_start),
+            *("--feed-interval", fleet.FEED_INTERVAL_MS),
+        )
+        for service in self.services:
+            options = ("--service", service.name, *USERS[service.name], *fixed)
+            users = self.children.start(f"users-{service.name}", "standins.workload", *options)
+            self.users.append(users)
+        self.tell_fabric()
+        self.say("callers work: feeds, reports, demands, uploads")
+
+    def tell_fabric(self) -> None:
+        """Let the fabric spray packets over the present balancers."""
+        listening = [member.listen for member in self.fleet.balancers.values()]
+        for users in self.users:
+            users.tell(listening)
+
+    def measure(self, seconds: float) -> dict[str, float]:
+        """Let callers work and return how unevenly each service's upstreams were busy."""
+        before = self.busy()
+        time.sleep(seconds)
+        after = self.busy()
+        work: dict[str, dict[str, int]] = {service.name: {} for service in self.services}
+        for (service, name), busy in after.items():
+            work[service][name] = busy - before[service, name]
+        return verdict.imbalance(work)
+
+    def busy(self) -> dict[tuple[str, str], int]:
+        """Return how long the slots of each upstream have been taken so far, in ms."""
+        return {
+            (member.service.name, member.name): member.upstream.get("standin/runs")["busy_ms"]
+            for member in list(self.fleet.upstreams.values())
+        }
+
+    def replace_all(self) -> None:
+        """Replace every upstream, one at a time in each service, and every balancer meanwhile."""
+        self.say("the night: replacing every upstream and every balancer")
+        with concurrent.futures.ThreadPoolExecutor(len(self.services) + 1) as pool:
+            tasks = [pool.submit(self.replace_upstreams, service) for service in self.services]
+            tasks.append(pool.submit(self.replace_balancers))
+            for task in tasks:
+                task.result()
+
+    def replace_upstreams(self, service: fleet.Service) -> None:
+        """Replace the upstreams of a service, each by a new one in the same zone."""
+        members = [m for m in self.fleet.upstreams.values() if m.service is service]
+        for member in members:
+            self.fleet.add_upstream(service, f"{member.name}-new", member.zone)
+            self.fleet.remove_upstream(member)
+            self.upstreams_replaced += 1
+            self.say(f"replaced upstream {member.name}")
+
+    def replace_balancers(self) -> None:
+        """Replace every balancer by a new one in the same zone."""
+        for member in list(self.fleet.balancers.values()):
+            threading.Event().wait(2.0)
+            self.fleet.add_balancer(f"{member.name}-new", member.zone)
+            self.tell_fabric()
+            self.fleet.remove_balancer(member, self.tell_fabric)
+            self.balancers_replaced += 1
+            self.say(f"replaced balancer {member.name}")
+
+    def stop_users(self) -> list[dict]:
+        """Let callers finish what is under way and return their records."""
+        for users in self.users:
+            users.tell("stop")
+        records = []
+        for users in self.users:
+            status = users.wait(RECORD_SECONDS)
+            line = users.lines[-1] if users.lines else ""
+            if status != 0 or not line.startswith("record "):
+                self.fleet.faults.append(f"{users.name} ended with {status}: {line[:200]}")
+                continue
+            records.append(json.loads(line.removeprefix("record ")))
+        return records
+
+    def figures(
+        self, records: list[dict], evening: dict[str, float], morning: dict[str, float]
+    ) -> dict:
+        """Return the line that the demo prints."""
+        judged = verdict.judge(records, self.fleet.counts)
+        for fault in (*judged.faults[:20], *self.fleet.faults):
+            self.say(f"FAULT {fault}")
+        fields = dataclasses.asdict(judged)
+        del fields["faults"]
+        return {
+            **fields,
+            "stop_faults": len(self.fleet.faults),
+            "imbalance_max_over_mean": max(evening.values(), default=None),
+            "imbalance_by_service": evening,
+            "imbalance_after_the_night": morning,
+            "upstreams_replaced": self.upstreams_replaced,
+            "balancers_replaced": self.balancers_replaced,
+            "seconds": round(time.monotonic() - self.began, 1),
+        }
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the demo; 0 if every promise was kept."""
+    parser = argparse.ArgumentParser(prog="demo", description=__doc__)
+    parser.add_argument("--small", action="store_true", help="one service with two upstreams")
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for settings and logs, kept")
+    options = parser.parse_args(arguments)
+    with contextlib.ExitStack() as stack:
+        folder = options.keep
+        if folder is None:
+            folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        folder.mkdir(parents=True, exist_ok=True)
+        children = stack.enter_context(processes.Children())
+        figures = Demo(children, folder, options.small).run()
+    print(json.dumps(figures), flush=True)
+    broken = [name for name in verdict.PROMISES if figures[name]]
+    return 1 if broken or figures["stop_faults"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,6 +1,7 @@
 """Start modules as child processes, wait for their `ready` line, and end them by id."""
 
 import collections
+import json
 import os
 import pathlib
 import queue
@@ -17,32 +18,56 @@
 STOP_SECONDS = 20.0
 KEPT_LINES = 10_000
 
+STARTED = " event=started "
+"""What the log line of a program of the system holds once its sockets are open."""
+
 HTTP = urllib3.PoolManager(maxsize=16, retries=False, timeout=10.0)
 
 
 class Child:
-    """A child process; its standard output is read line by line into `lines`."""
+    """A child process whose output is read line by line into `lines`.
+
+    The stand-ins say on standard output that they are ready. The programs of the system log on
+    standard error: with `log` that is read, and copied into the file of this name.
+    """
 
-    def __init__(self, name: str, command: list[str]):
+    def __init__(self, name: str, command: list[str], log: pathlib.Path | None = None):
         self.name = name
+        self.log = log
         self.lines: collections.deque[str] = collections.deque(maxlen=KEPT_LINES)
         self.ready: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self.fields: dict[str, str] = {}
         paths = [str(ROOT / "src"), str(ROOT)]
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(paths), "PYTHONUNBUFFERED": "1"}
+        streams = {"stderr": subprocess.PIPE} if log else {"stdout": subprocess.PIPE}
         self.popen = subprocess.Popen(
-            command, cwd=ROOT, env=environment, stdout=subprocess.PIPE, text=True
+            command, cwd=ROOT, env=environment, stdin=subprocess.PIPE, text=True, **streams
         )
         self.reader = threading.Thread(target=self.read, daemon=True)
         self.reader.start()
 
     def read(self) -> None:
         """Keep the lines and pass the ready line on; None says that there will be none."""
-        for line in self.popen.stdout:
+        copy = open(self.log, "w") if self.log else None  # noqa: SIM115 (closed below)
+        for line in self.popen.stderr if copy else self.popen.stdout:
             self.lines.append(line.rstrip("\n"))
-            if line.startswith("ready"):
+            if copy:
+                copy.write(line)
+                copy.flush()
+            if line.startswith("ready") or (copy and STARTED in line):
                 self.ready.put(line)
         self.ready.put(None)
+        if copy:
+            copy.close()
+
+    def tell(self, document: typing.Any) -> None:
+        """Write a JSON document as one line to the child's standard input."""
+        try:
+            self.popen.stdin.write(json.dumps(document) + "\n")
+            self.popen.stdin.flush()
+        except OSError:
+            # It has ended; whoever waits for it learns so.
+            pass
 
     def wait_ready(self, seconds: float = READY_SECONDS) -> None:
         """Wait for the ready line and take its key=value fields."""
@@ -98,6 +123,7 @@
         except subprocess.TimeoutExpired:
             self.kill()
         self.reader.join(5)
+        self.popen.stdin.close()
         return self.popen.returncode
 
     def kill(self) -> None:
@@ -126,8 +152,10 @@
 
     def launch(self, name: str, module: str, *arguments: object) -> Child:
         """Start `python -m module` without waiting; call `wait_ready` on what it returns."""
-        command = [sys.executable, "-m", module, *map(str, arguments)]
-        child = Child(name, command)
+        return self.add(Child(name, [sys.executable, "-m", module, *map(str, arguments)]))
+
+    def add(self, child: Child) -> Child:
+        """Take over a child, to end it with the others."""
         self.children.append(child)
         return child
 
--- a/standins/slots.py
+++ b/standins/slots.py
@@ -52,6 +52,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.non_idempotent: set[str] = set()
         self.most_running = 0
+        self.busy_ms = 0
 
     def run(self, job: Job, service_ms: int) -> Outcome:
         """Wait for a slot, hold it for the service time, and tell how it ended."""
@@ -60,9 +61,11 @@
             if refused:
                 return refused
             self.start(job)
+            began = web.now_ms()
             try:
-                return self.hold(job, web.now_ms() + service_ms)
+                return self.hold(job, began + service_ms)
             finally:
+                self.busy_ms += web.now_ms() - began
                 self.running.remove(job)
                 self.condition.notify_all()
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -190,6 +190,7 @@
                 "non_idempotent": sorted(self.slots.non_idempotent),
                 "wrong_service": self.wrong_service,
                 "most_running": self.slots.most_running,
+                "busy_ms": self.slots.busy_ms,
             }
 
     def tell_runs(self, query: web.Query, rest: str) -> web.Answer:
--- /dev/null
+++ b/standins/workload.py
@@ -0,0 +1,272 @@
+"""Call one service as its users do, through the caller library, and record what was told.
+
+A process of its own for each group of users. It reads JSON lines on standard input: the balancers'
+addresses (the list is the fabric's: every datagram goes to any of them), then `stop`. At the end it
+prints one line `record {...}`, which `standins.verdict` compares with what the upstreams counted.
+"""
+
+import argparse
+import dataclasses
+import hashlib
+import json
+import random
+import sys
+import threading
+import typing
+
+from ebonystile import clock
+from ebonystile.caller import client
+from ebonystile.core import call
+from standins import answers
+
+OPEN_MS = 60_000
+DEADLINE_MS = 15_000
+"""How long a request may take, in ms."""
+
+GIVE_UP_MS = 30_000
+"""After this long, in ms, a report that was refused each time is given up, and counted as lost."""
+
+WAIT_MARGIN_MS = 20_000
+"""Time beyond its deadline in which the library owes the final word, in ms."""
+
+STALL_MS = 5_000
+"""A feed that shows nothing for so much longer than its interval, in ms, is broken."""
+
+BULK_BYTES = 300_000
+
+
+@dataclasses.dataclass(slots=True)
+class Tried:
+    """One request as sent, and what the caller was told of it."""
+
+    request: str
+    outcome: str
+    reason: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Errand:
+    """One thing that a user wants done once: a request, tried anew only after `not_run`."""
+
+    kind: str
+    idempotent: bool
+    tries: list[Tried] = dataclasses.field(default_factory=list)
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """One flow and what went wrong on it."""
+
+    feed_events: int = 0
+    reopened: int = 0
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """Everything that this process's users were told."""
+
+    service: str
+    errands: list[Errand] = dataclasses.field(default_factory=list)
+    sessions: list[Session] = dataclasses.field(default_factory=list)
+
+
+class Users:
+    """The users of one service; each runs in a thread of its own."""
+
+    def __init__(self, options: argparse.Namespace):
+        self.options = options
+        self.service = options.service
+        self.balancers: list[tuple[str, int]] = []
+        self.caller = client.make_caller(lambda: self.balancers)
+        self.stopping = threading.Event()
+        self.record = Record(self.service)
+        self.lock = threading.Lock()
+        self.threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Start every user."""
+        for number in range(self.options.feeds):
+            self.begin(self.crew, number)
+        for number in range(self.options.uploads):
+            self.begin(self.uploader, number)
+
+    def begin(self, user: typing.Callable[[random.Random], None], number: int) -> None:
+        """Start one user with randomness of its own."""
+        source = random.Random(f"{self.service} {user.__name__} {number}")
+        thread = threading.Thread(target=user, args=(source,), daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def crew(self, source: random.Random) -> None:
+        """Keep one flow all the time: follow a feed, and now and then send a report."""
+        flow, session = self.open()
+        watcher = threading.Thread(target=self.follow, args=(flow, session, source), daemon=True)
+        watcher.start()
+        while not self.pause(source, self.options.every):
+            text = f"{self.options.kind} {source.getrandbits(64):x}".encode()
+            self.run_errand(
+                flow, session, self.options.kind, f"{self.options.kind}s", text, idempotent=False
+            )
+            if source.random() < self.options.bulk_share:
+                path = f"{answers.BULK_PREFIX}{BULK_BYTES}"
+                self.run_errand(flow, session, "bulk", path, b"", idempotent=True)
+        watcher.join()
+        self.leave(flow, session)
+
+    def uploader(self, source: random.Random) -> None:
+        """Open a flow for each upload."""
+        while not self.pause(source, self.options.upload_every):
+            flow, session = self.open()
+            body = source.randbytes(source.randint(self.options.least, self.options.most))
+            self.run_errand(flow, session, "upload", "uploads", body, idempotent=True)
+            self.leave(flow, session)
+
+    def pause(self, source: random.Random, seconds: float) -> bool:
+        """Wait a while; True when it is time to stop."""
+        return self.stopping.wait(source.uniform(0.5, 1.5) * seconds)
+
+    def open(self) -> tuple[client.Flow, Session]:
+        """Open a flow and begin to record it."""
+        session = Session()
+        with self.lock:
+            self.record.sessions.append(session)
+        return self.caller.open(self.service, clock.now() + OPEN_MS), session
+
+    def leave(self, flow: client.Flow, session: Session) -> None:
+        """Close a flow."""
+        session.reopened = flow.core.reopened
+        flow.close()
+
+    def follow(self, flow: client.Flow, session: Session, source: random.Random) -> None:
+        """Follow a feed from now on, and check that no event is missing, doubled or changed."""
+        path = f"spans/{source.randrange(self.options.paths)}"
+        service_feed = answers.Feed(
+            self.service, self.options.feed_start, self.options.feed_interval
+        )
+        position = service_feed.latest(clock.now())
+        feed = flow.subscribe(path, position)
+        quiet_since = clock.now()
+        while not self.stopping.is_set():
+            event = feed.next(clock.now() + 500)
+            if event is None:
+                if clock.now() - quiet_since > STALL_MS + self.options.feed_interval:
+                    session.faults.append(f"feed silent since {quiet_since} at {position}")
+                    quiet_since = clock.now()
+                continue
+            quiet_since = clock.now()
+            position += 1
+            session.feed_events += 1
+            body = answers.event_body(self.service, path, position)
+            if (event.position, event.body) != (position, body):
+                session.faults.append(f"event {event.position} in place of {position}")
+                position = event.position
+
+    def run_errand(
+        self,
+        flow: client.Flow,
+        session: Session,
+        kind: str,
+        path: str,
+        body: bytes,
+        *,
+        idempotent: bool,
+    ) -> None:
+        """Send a request until there is an answer; send it anew only when it was not run."""
+        errand = Errand(kind, idempotent)
+        give_up = clock.now() + GIVE_UP_MS
+        while True:
+            result = self.send(flow, errand, path, body)
+            if result is None or result.outcome is call.Outcome.UNKNOWN:
+                session.faults.append(f"{kind}: {errand.tries[-1].reason}")
+                break
+            if result.outcome is call.Outcome.ANSWERED:
+                self.check(errand, result, path, body)
+                break
+            if clock.now() > give_up:
+                break
+            threading.Event().wait(clock.seconds_until(result.retry_at) + 0.01)
+        with self.lock:
+            self.record.errands.append(errand)
+
+    def send(self, flow: client.Flow, errand: Errand, path: str, body: bytes) -> call.Result | None:
+        """Send a request once and record the final word on it."""
+        deadline = clock.now() + DEADLINE_MS
+        future = flow.submit(path, body, deadline, idempotent=errand.idempotent)
+        try:
+            result = future.result((DEADLINE_MS + WAIT_MARGIN_MS) / 1000)
+        except TimeoutError:
+            request = getattr(future, "request", b"")
+            errand.tries.append(Tried(request.hex(), "none", "no final word"))
+            return None
+        errand.tries.append(Tried(result.request.hex(), result.outcome.value, result.reason))
+        return result
+
+    def check(self, errand: Errand, result: call.Result, path: str, body: bytes) -> None:
+        """Check that the answer is whole and belongs to this very request."""
+        request = result.request.hex()
+        if result.status != 200:
+            errand.faults.append(f"status {result.status}")
+        elif path.startswith(answers.BULK_PREFIX):
+            if result.body != answers.bulk(request, BULK_BYTES):
+                errand.faults.append("wrong bytes")
+        else:
+            self.check_receipt(errand, request, result.body, body)
+
+    def check_receipt(self, errand: Errand, request: str, receipt: bytes, body: bytes) -> None:
+        """Check a receipt's fields against what was sent."""
+        fields = json.loads(receipt)
+        digest = hashlib.sha256(body).hexdigest()
+        if fields["service"] != self.service:
+            errand.faults.append("wrong service")
+        if (fields["request"], fields["digest"]) != (request, digest):
+            errand.faults.append("receipt of something else")
+
+    def stop(self) -> None:
+        """Let every user finish what is under way."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        self.caller.close()
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="standins.workload", description=__doc__)
+    add = parser.add_argument
+    add("--service", required=True)
+    add("--feeds", type=int, default=0, help="users who keep a flow with a feed")
+    add("--paths", type=int, default=4, help="different feeds")
+    add("--feed-start", type=int, default=0, help="time of position 0 of all feeds")
+    add("--feed-interval", type=int, default=500, help="ms from one event to the next")
+    add("--kind", default="report", help="what a user sends that must not be repeated")
+    add("--every", type=float, default=1.0, help="seconds between two of these of one user")
+    add("--bulk-share", type=float, default=0.0, help="share of them followed by a long answer")
+    add("--uploads", type=int, default=0, help="users who upload")
+    add("--upload-every", type=float, default=3.0, help="seconds between a user's uploads")
+    add("--least", type=int, default=1_000_000, help="smallest upload in bytes")
+    add("--most", type=int, default=3_000_000, help="largest upload in bytes")
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Work until standard input says `stop`, or ends."""
+    users = Users(make_parser().parse_args(arguments))
+    print("ready", flush=True)
+    started = False
+    for line in sys.stdin:
+        document = json.loads(line)
+        if document == "stop":
+            break
+        users.balancers = [(host, port) for host, port in document]
+        if not started:
+            started = True
+            users.start()
+    users.stop()
+    print(f"record {json.dumps(dataclasses.asdict(users.record))}", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/upstream/test_upstream_client.py
+++ b/tests/upstream/test_upstream_client.py
@@ -1,5 +1,6 @@
 """Check what the client makes of an upstream's answers, good and bad."""
 
+import concurrent.futures
 import os
 import socket
 
@@ -157,3 +158,18 @@
         if connection is not None and connection.sock is not None:
             connection.sock.shutdown(socket.SHUT_RDWR)
     assert upstream.run(make_job()).status == 200
+
+
+def test_long_polls_keep_their_connections(child):
+    """Each poll on a connection of its own would cost the upstream a connection every second."""
+    made = client.make_upstream(child.url, 1)
+    with concurrent.futures.ThreadPoolExecutor(6) as executor:
+        for _ in range(3):
+            wait_until = web.now_ms() + 300
+            polls = [
+                executor.submit(made.events, "none", 1 << 50, 1, wait_until, service="line-status")
+                for _ in range(6)
+            ]
+            assert [poll.result() for poll in polls] == [[]] * 6
+    assert made.feeds.pool.num_connections <= 6
+    made.close()
