Show a night in which every process is replaced: scripts/demo, with the stand-ins' own judge

scripts/demo starts platform, 3 balancers and the 21 upstreams of both users with their sidecars, lets callers follow feeds, send reports and demands, upload photos and fetch long answers, replaces all of it, and compares what callers were told with what each upstream counted before it ended.

System (standins/system.py) now removes its directory, changes labels under a lock and can write a log file for each process; the demo is built on it.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -5,19 +5,22 @@
 """
 
 import argparse
+import collections
 import concurrent.futures
 import contextlib
 import dataclasses
 import json
 import pathlib
+import signal
 import sys
 import tempfile
-import threading
 import time
 
 from standins import fleet, processes, verdict
 
 BALANCERS = 3
+BALANCER_SECONDS = 5.0
+"""Time between two replacements of balancers: they last as long as those of the upstreams."""
 STEADY_SECONDS = 8.0
 """How long the callers work before the first and after the last replacement; imbalance of slot
 time is measured in these times."""
@@ -43,8 +46,7 @@
         self.fleet = fleet.Fleet(children, folder)
         self.users: list[processes.Child] = []
         self.began = time.monotonic()
-        self.upstreams_replaced = 0
-        self.balancers_replaced = 0
+        self.replaced: collections.Counter[str] = collections.Counter()
 
     def say(self, text: str) -> None:
         """Print progress."""
@@ -73,7 +75,7 @@
         self.fleet.publish_services(self.services)
         for number in range(BALANCERS):
             zones = fleet.NORRLAND + fleet.PORT_LOUIS
-            self.fleet.add_balancer(f"entry-{number + 1}", zones[number * 3 % len(zones)])
+            self.fleet.system.start_balancer(f"entry-{number + 1}", zones[number * 3 % len(zones)])
         with concurrent.futures.ThreadPoolExecutor(6) as pool:
             started = [
                 pool.submit(
@@ -87,7 +89,7 @@
             ]
             for future in started:
                 future.result()
-        self.say(f"{len(self.fleet.upstreams)} upstreams with sidecars are up")
+        self.say(f"{len(self.fleet.members)} upstreams with sidecars are up")
 
     def start_users(self) -> None:
         """Start the callers and give them the fabric's list of balancers."""
@@ -104,9 +106,8 @@
 
     def tell_fabric(self) -> None:
         """Let the fabric spray packets over the present balancers."""
-        listening = [member.listen for member in self.fleet.balancers.values()]
         for users in self.users:
-            users.tell(listening)
+            users.tell(self.fleet.system.addresses())
 
     def measure(self, seconds: float) -> dict[str, float]:
         """Let callers work and return how unevenly each service's upstreams were busy."""
@@ -121,8 +122,8 @@
     def busy(self) -> dict[tuple[str, str], int]:
         """Return how long the slots of each upstream have been taken so far, in ms."""
         return {
-            (member.service.name, member.name): member.upstream.get("standin/runs")["busy_ms"]
-            for member in list(self.fleet.upstreams.values())
+            (member.service.name, name): member.sidecar.upstream.get("standin/runs")["busy_ms"]
+            for name, member in list(self.fleet.members.items())
         }
 
     def replace_all(self) -> None:
@@ -136,22 +137,23 @@
 
     def replace_upstreams(self, service: fleet.Service) -> None:
         """Replace the upstreams of a service, each by a new one in the same zone."""
-        members = [m for m in self.fleet.upstreams.values() if m.service is service]
+        members = [m for m in list(self.fleet.members.values()) if m.service is service]
         for member in members:
-            self.fleet.add_upstream(service, f"{member.name}-new", member.zone)
+            name = member.sidecar.name
+            self.fleet.add_upstream(service, f"{name}-new", member.sidecar.zone)
             self.fleet.remove_upstream(member)
-            self.upstreams_replaced += 1
-            self.say(f"replaced upstream {member.name}")
+            self.replaced["upstream"] += 1
+            self.say(f"replaced upstream {name}")
 
     def replace_balancers(self) -> None:
         """Replace every balancer by a new one in the same zone."""
-        for member in list(self.fleet.balancers.values()):
-            threading.Event().wait(2.0)
-            self.fleet.add_balancer(f"{member.name}-new", member.zone)
+        for balancer in list(self.fleet.system.balancers.values()):
+            time.sleep(BALANCER_SECONDS)
+            self.fleet.system.start_balancer(f"{balancer.name}-new", balancer.zone)
             self.tell_fabric()
-            self.fleet.remove_balancer(member, self.tell_fabric)
-            self.balancers_replaced += 1
-            self.say(f"replaced balancer {member.name}")
+            self.fleet.remove_balancer(balancer, self.tell_fabric)
+            self.replaced["balancer"] += 1
+            self.say(f"replaced balancer {balancer.name}")
 
     def stop_users(self) -> list[dict]:
         """Let callers finish what is under way and return their records."""
@@ -182,14 +184,20 @@
             "imbalance_max_over_mean": max(evening.values(), default=None),
             "imbalance_by_service": evening,
             "imbalance_after_the_night": morning,
-            "upstreams_replaced": self.upstreams_replaced,
-            "balancers_replaced": self.balancers_replaced,
+            "upstreams_replaced": self.replaced["upstream"],
+            "balancers_replaced": self.replaced["balancer"],
             "seconds": round(time.monotonic() - self.began, 1),
         }
 
 
+def interrupt(*_: object) -> None:
+    """Let SIGTERM unwind the `with` blocks, so that nothing that was started stays behind."""
+    raise KeyboardInterrupt
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the demo; 0 if every promise was kept."""
+    signal.signal(signal.SIGTERM, interrupt)
     parser = argparse.ArgumentParser(prog="demo", description=__doc__)
     parser.add_argument("--small", action="store_true", help="one service with two upstreams")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for settings and logs, kept")
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,6 +1,7 @@
 """Start modules as child processes, wait for their `ready` line, and end them by id."""
 
 import collections
+import contextlib
 import json
 import os
 import pathlib
@@ -18,47 +19,42 @@
 STOP_SECONDS = 20.0
 KEPT_LINES = 10_000
 
-STARTED = " event=started "
-"""What the log line of a program of the system holds once its sockets are open."""
-
 HTTP = urllib3.PoolManager(maxsize=16, retries=False, timeout=10.0)
 
 
 class Child:
-    """A child process whose output is read line by line into `lines`.
+    """A child process whose standard output is read line by line into `lines`.
 
-    The stand-ins say on standard output that they are ready. The programs of the system log on
-    standard error: with `log` that is read, and copied into the file of this name.
+    With `log`, what it writes on standard error goes into the file of this name.
     """
 
     def __init__(self, name: str, command: list[str], log: pathlib.Path | None = None):
         self.name = name
-        self.log = log
         self.lines: collections.deque[str] = collections.deque(maxlen=KEPT_LINES)
         self.ready: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self.fields: dict[str, str] = {}
         paths = [str(ROOT / "src"), str(ROOT)]
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(paths), "PYTHONUNBUFFERED": "1"}
-        streams = {"stderr": subprocess.PIPE} if log else {"stdout": subprocess.PIPE}
-        self.popen = subprocess.Popen(
-            command, cwd=ROOT, env=environment, stdin=subprocess.PIPE, text=True, **streams
-        )
+        with contextlib.ExitStack() as stack:
+            self.popen = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                stderr=stack.enter_context(log.open("w")) if log else None,
+                text=True,
+            )
         self.reader = threading.Thread(target=self.read, daemon=True)
         self.reader.start()
 
     def read(self) -> None:
         """Keep the lines and pass the ready line on; None says that there will be none."""
-        copy = open(self.log, "w") if self.log else None  # noqa: SIM115 (closed below)
-        for line in self.popen.stderr if copy else self.popen.stdout:
+        for line in self.popen.stdout:
             self.lines.append(line.rstrip("\n"))
-            if copy:
-                copy.write(line)
-                copy.flush()
-            if line.startswith("ready") or (copy and STARTED in line):
+            if line.startswith("ready"):
                 self.ready.put(line)
         self.ready.put(None)
-        if copy:
-            copy.close()
 
     def tell(self, document: typing.Any) -> None:
         """Write a JSON document as one line to the child's standard input."""
@@ -150,12 +146,11 @@
         for child in running:
             child.wait(max(0.1, give_up - time.monotonic()))
 
-    def launch(self, name: str, module: str, *arguments: object) -> Child:
+    def launch(
+        self, name: str, module: str, *arguments: object, log: pathlib.Path | None = None
+    ) -> Child:
         """Start `python -m module` without waiting; call `wait_ready` on what it returns."""
-        return self.add(Child(name, [sys.executable, "-m", module, *map(str, arguments)]))
-
-    def add(self, child: Child) -> Child:
-        """Take over a child, to end it with the others."""
+        child = Child(name, [sys.executable, "-m", module, *map(str, arguments)], log)
         self.children.append(child)
         return child
 
--- a/standins/system.py
+++ b/standins/system.py
@@ -6,6 +6,7 @@
 import secrets
 import socket
 import tempfile
+import threading
 import time
 import typing
 
@@ -35,9 +36,17 @@
 class System:
     """The processes of one run: a platform, balancers, and upstreams with their sidecars."""
 
-    def __init__(self, children: processes.Children, *platform_arguments: object):
+    def __init__(
+        self,
+        children: processes.Children,
+        *platform_arguments: object,
+        logs: pathlib.Path | None = None,
+    ):
         self.children = children
-        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="ebonystile-"))
+        self.logs = logs
+        self.temporary = tempfile.TemporaryDirectory(prefix="ebonystile-")
+        self.directory = pathlib.Path(self.temporary.name)
+        self.lock = threading.Lock()
         self.platform = children.start_platform(*platform_arguments)
         self.key = secrets.token_hex(32)
         self.balancers: dict[str, Balancer] = {}
@@ -53,10 +62,11 @@
 
     def label(self, name: str, labels: dict[str, str] | None) -> None:
         """Publish an instance's labels; None removes them."""
-        self.labels.pop(name, None)
-        if labels is not None:
-            self.labels[name] = labels
-        processes.publish_value(self.platform, "labels/00", {"instances": self.labels})
+        with self.lock:
+            self.labels.pop(name, None)
+            if labels is not None:
+                self.labels[name] = labels
+            processes.publish_value(self.platform, "labels/00", {"instances": self.labels})
 
     def enlist(self, name: str, role: str, port: int, zone: str, state: str = "live") -> None:
         """Put an instance into the platform's list."""
@@ -82,8 +92,7 @@
         path = self.settings(
             name, balancer.port, zone, listen=f"127.0.0.1:{balancer.listen}", **extra
         )
-        module = "ebonystile.commands.balancer"
-        balancer.child = self.children.launch(name, module, "--settings", path)
+        balancer.child = self.launch("ebonystile.commands.balancer", name, path)
         self.enlist(name, "balancer", balancer.port, zone)
         wait_healthy(balancer.child, balancer.port)
         self.balancers[name] = balancer
@@ -95,15 +104,19 @@
         """Start a sidecar beside an upstream and list it."""
         sidecar = Sidecar(name, zone, free_port(), upstream)
         path = self.settings(name, sidecar.port, zone, upstream=upstream.url, **extra)
-        module = "ebonystile.commands.sidecar"
-        sidecar.child = self.children.launch(name, module, "--settings", path)
+        sidecar.child = self.launch("ebonystile.commands.sidecar", name, path)
         self.enlist(name, "upstream", sidecar.port, zone)
         wait_healthy(sidecar.child, sidecar.port)
         return sidecar
 
+    def launch(self, module: str, name: str, settings: pathlib.Path) -> processes.Child:
+        """Start a program; with `logs`, each process has a file of its own there."""
+        log = self.logs / f"{name}.log" if self.logs else None
+        return self.children.launch(name, module, "--settings", settings, log=log)
+
     def addresses(self) -> list[tuple[str, int]]:
         """Return where the fabric hands packets: every balancer that takes them now."""
-        return [("127.0.0.1", b.listen) for b in self.balancers.values()]
+        return [("127.0.0.1", b.listen) for b in list(self.balancers.values())]
 
 
 class Balancer:
