--- a/src/ebonystile/daemon/answers.py
+++ b/src/ebonystile/daemon/answers.py
@@ -162,7 +162,7 @@
     home = core.view.endpoints.get(token.upstream)
     if home is None:
         return "", "the token's upstream is not in this view: the ranking is walked"
-    return home.name, f"the token names it, in the incarnation {token.incarnation:016x}"
+    return home.name, f"the token names it (flow incarnation {token.incarnation:016x})"
 
 
 @functools.singledispatch
--- a/src/ebonystile/daemon/server.py
+++ b/src/ebonystile/daemon/server.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import http
 import socket
 import threading
@@ -28,6 +29,9 @@
 CLOSE_S = 2
 """Seconds that a peer may take to shake hands, to ask the next question and to say goodbye."""
 
+ROOM_S = 1
+"""Seconds that ending a silent connection may take to free its place."""
+
 ACCEPT_POLL_S = 0.2
 ACCEPT_BACKOFF_S = 0.1
 BACKLOG = 128
@@ -76,6 +80,7 @@
         self.healthy = healthy
         self.free = threading.BoundedSemaphore(connection_limit)
         self.lock = threading.Lock()
+        self.silent: dict[socket.socket, None] = {}
         self.counts: collections.Counter[str] = collections.Counter()
 
     def start(self, address: view.Address) -> None:
@@ -108,18 +113,43 @@
             self.counts[name] += 1
 
     def admit(self, connection: socket.socket, peer: view.Address) -> None:
-        """Serve an accepted connection, or close it at once where the limit is reached."""
-        if not self.free.acquire(blocking=False):
+        """Serve an accepted connection if there is room, or can be made."""
+        if not self.free.acquire(blocking=False) and not self.make_room():
             self.count("connections_refused")
             connection.close()
             with self.server.lock:
                 self.server.handler_threads.discard(threading.current_thread())
             return
+        with self.lock:
+            self.silent[connection] = None
         try:
             self.serve_connection(connection, peer)
         finally:
+            self.heard(connection)
             self.free.release()
 
+    def make_room(self) -> bool:
+        """End the longest silent connection; return whether its place was got.
+
+        Somebody who opens connections and says nothing could otherwise keep handovers out for as
+        long as they like. A process of the system speaks within milliseconds, and whoever speaks
+        nonsense is cut off, so only the silent ones give way.
+        """
+        with self.lock:
+            longest = next(iter(self.silent), None)
+            if longest is None:
+                return False
+            del self.silent[longest]
+        self.count("silent_ended")
+        with contextlib.suppress(OSError):
+            longest.shutdown(socket.SHUT_RDWR)
+        return self.free.acquire(timeout=ROOM_S)
+
+    def heard(self, connection: socket.socket) -> None:
+        """Note that a connection has spoken, or ended."""
+        with self.lock:
+            self.silent.pop(connection, None)
+
     def respond(self, connection: websockets_server.ServerConnection, request) -> typing.Any:
         """Answer plain HTTP; return None for a websocket, which `converse` then serves."""
         path = request.path.partition("?")[0]
@@ -143,6 +173,7 @@
         try:
             while True:
                 question = connection.recv(timeout=IDLE_S)
+                self.heard(connection.socket)
                 answer = self.answer(handler, question)
                 if answer is None:
                     connection.close(frames.CloseCode.POLICY_VIOLATION, "not understood")
--- a/src/ebonystile/operator/preview.py
+++ b/src/ebonystile/operator/preview.py
@@ -50,11 +50,25 @@
         faults = [f"{refusal.key}: {fault}" for refusal in refusals for fault in refusal.faults]
         raise errors.SettingsError(faults, step=STEP, peer=", ".join(changed))
     new_conflicts = [line for line in present.conflicts() if line not in conflicts]
-    return compare(before, present.view, new_conflicts)
+    return compare(before, present.view, [*new_conflicts, *unlisted(present, changed)])
 
 
-def compare(before: view.View, after: view.View, conflicts: abc.Sequence[str] = ()) -> Preview:
-    """Return how the services of two views differ."""
+def unlisted(
+    present: configuration.Configuration, changed: abc.Mapping[str, typing.Any]
+) -> list[str]:
+    """Return a warning for each labelled instance that the platform's list doesn't have."""
+    labelled = {
+        name
+        for value in changed.values()
+        if value is not None
+        for name in value.get("instances", {})
+    }
+    missing = sorted(labelled - present.instances.entries.keys())
+    return [f"{name}: has labels but is not on the platform's list" for name in missing]
+
+
+def compare(before: view.View, after: view.View, remarks: abc.Sequence[str] = ()) -> Preview:
+    """Return how the services of two views differ; `remarks` come after the warnings."""
     names = sorted(before.services.keys() | after.services.keys())
     changes = []
     for name in names:
@@ -64,7 +78,7 @@
     warnings = [warning for change in changes for warning in warnings_of(change)]
     return Preview(
         tuple(changes),
-        (*warnings, *unserved(before, after), *conflicts),
+        (*warnings, *unserved(before, after), *remarks),
         len(names) - len(changes),
     )
 
@@ -99,7 +113,7 @@
     if change.after is None:
         found.append(f"{change.service}: the service goes away; its flows end")
     elif change.after == 0:
-        found.append(f"{change.service}: no upstream is left that takes new work")
+        found.append(f"{change.service}: no upstream would take new work")
     elif change.before and not change.join and 2 * change.after < change.before:
         found.append(f"{change.service}: loses more than half of its upstreams at once")
     if change.before is not None and change.address_after not in ("", change.address_before):
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -192,11 +192,13 @@
     labels = write(tmp_path / "now", "all.json", LABELS)
     listed = write(tmp_path, "instances.json", INSTANCES)
     change = write(tmp_path, "main.json", {"services": {}})
+    stranger = write(tmp_path, "all.json", {"instances": {**LABELS["instances"], "u9": {}}})
     arguments = ["--present", present, "--present", labels, "--instances", listed, "--no-flows"]
-    result = run("preview", change, *arguments, *options)
+    result = run("preview", change, stranger, *arguments, *options)
     assert result.exit_code == 0, result.output
     assert "3 -> absent" in result.output
     assert "warning: s: the service goes away; its flows end" in result.output
+    assert "warning: u9: has labels but is not on the platform's list" in result.output
     assert "1 services change, 0 stay as they are" in result.output
 
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -88,6 +88,21 @@
         assert ask(running, "/echo", b"1") == b"1"
 
 
+def test_silent_connections_give_way():
+    """Somebody opens every connection there is room for and says nothing.
+
+    A sidecar that wants to hand a flow over must still be served at once: the longest silent
+    connection is ended in its favour.
+    """
+    handlers = {"/echo": lambda m: m}
+    with serving(handlers, connection_limit=2) as running, contextlib.ExitStack() as held:
+        silent = [held.enter_context(connected(running)) for _ in range(2)]
+        wait_until_accepted(running, 2)
+        assert ask(running, "/echo", b"1") == b"1"
+        assert silent[0].recv(1) == b""
+    assert running.counts["silent_ended"] == 1
+
+
 def test_connections_past_the_limit_are_closed_and_a_freed_one_serves():
     """Many peers connect at once and hold on: the rest are closed at once, not served slowly.
 
@@ -165,7 +180,11 @@
     silent.close()
 
 
-def wait_until_accepted(running):
+def connected(running):
+    return contextlib.closing(socket.create_connection(running.address))
+
+
+def wait_until_accepted(running, number=1):
     deadline = clock.now() + WAIT_MS
-    while not running.server.handler_threads:
+    while len(running.silent) < number:
         assert clock.now() < deadline
