--- a/benches/policy_model.py
+++ b/benches/policy_model.py
@@ -101,7 +101,7 @@
     early: bool = True
     budgets: bool = True
     count_sent: bool = True
-    report_step: int = 1
+    report_step: int = 2
     report_least: int = 100
     ramp: int = 30_000
     stale_after: int = 3000
--- a/src/ebonystile/core/load.py
+++ b/src/ebonystile/core/load.py
@@ -172,7 +172,7 @@
     no sooner than `least` ms after the last report, which bounds the control traffic.
     """
 
-    def __init__(self, every: int = 1000, least: int = 100, step: int = 1, fanout: int = 8):
+    def __init__(self, every: int = 1000, least: int = 100, step: int = 2, fanout: int = 8):
         self.every = every
         self.least = least
         self.step = step
--- a/src/ebonystile/core/placement.py
+++ b/src/ebonystile/core/placement.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import math
 import typing
 
 from ebonystile.core import load, ranking, rng, view
@@ -41,12 +42,15 @@
 
     Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 2001. An open
     is passed only over a clear gap: `gap` requests per slot, or, where the work is no worse, a
-    share `flow_gap` of the flows held.
+    share `flow_gap` of the flows held. What a report says beyond the mean fades with its age, with
+    a time constant of `fade` times the recent request time, as after Dahlin, "Interpreting Stale
+    Load Information", IEEE TPDS 2000: a queue that was short a while ago is likely short no more.
     """
 
     candidates: int = 2
-    gap: float = 0.5
+    gap: float = 0.3
     flow_gap: float = 0.1
+    fade: float = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +134,18 @@
     return chance.sample(scene.siblings, count)
 
 
+def _faded(scene: Scene, some: list[load.Standing], fade: float) -> list[load.Standing]:
+    """Move the work of each towards the mean of all by the age of its report."""
+    constant = fade * scene.own.latency
+    if constant <= 0 or not some:
+        return some
+    mean = (scene.own.work + sum(s.work for s in scene.siblings)) / (len(scene.siblings) + 1)
+    return [
+        dataclasses.replace(s, work=mean + (s.work - mean) * math.exp(-s.age / constant))
+        for s in some
+    ]
+
+
 @functools.singledispatch
 def decide(policy: typing.Any, scene: Scene, chance: rng.Rng) -> str | None:
     """Return the sibling that the policy prefers to the own upstream, or None."""
@@ -160,7 +176,7 @@
 
 @decide.register
 def _power_of_two(policy: PowerOfTwo, scene: Scene, chance: rng.Rng) -> str | None:
-    some = _some(scene, policy.candidates, chance)
+    some = _faded(scene, _some(scene, policy.candidates, chance), policy.fade)
     if not some:
         return None
     # The zone decides between equals only, so that it never costs balance.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -120,6 +120,19 @@
     assert 6 <= herd(count_sends=True) <= 6 * 4
 
 
+def test_old_report_of_an_idle_sibling_weighs_less():
+    """All report at once that they are idle or busy; a second later only the order is left of it.
+
+    With requests of 100 ms nothing of the picture holds any more, and to pass everything to whoever
+    was idle then would be a herd.
+    """
+    loads = [given.load_of("u0"), given.load_of("u1", running=4), given.load_of("u2", running=4)]
+    own = given.load_of(running=2, latency=100)
+    policy = placement.PowerOfTwo(candidates=3)
+    assert choose(own, loads, policy=policy, now=0) == "u0"
+    assert choose(own, loads, policy=policy, now=1000) is None
+
+
 def test_unknown_policy_is_an_error():
     scene = placement.Scene(b"", load.standing(given.load_of()), "z", [], [])
     with pytest.raises(TypeError):
