Let the sidecars spread opens by load, bound their upstreams and suspect failing ones

Cause: an open stayed where the ranking put it; slots were bounded by one average; a fast-failing or suspected upstream went on drawing flows; a balancer took whatever came. Change: Limiter in place of Slots, LoadReport datagrams between siblings, one pass of an open by placement, suspicion of the own upstream from its requests and health, caution from its load endpoint, a fair gate for opens at the balancer. Ruled out: passing an open twice (two sidecars with stale tables would hand it to and fro). tests/test_answers.py made a request run by adding to the set of running keys; it now admits one, and checks the same.

--- a/benches/policy_model.py
+++ b/benches/policy_model.py
@@ -16,6 +16,7 @@
 
 from ebonystile.caller import budget
 from ebonystile.core import limits, load, placement, ranking, view
+from ebonystile.peer import messages
 
 HOP = 1
 """One way between two instances (ms)."""
@@ -183,12 +184,11 @@
         self.alive = True
         self.lies = False
         self.leaving = False
-        self.latency = 0.0
         self.waiting: dict[bytes, tuple[Asked, budget.Backoff]] = {}
 
-    def observed(self, now: int) -> load.Load:
+    def observed(self, now: int) -> messages.LoadReport:
         """Return what the sidecar observes."""
-        return load.Load(
+        return messages.LoadReport(
             name=self.name,
             incarnation=1,
             zone=self.endpoint.zone,
@@ -199,12 +199,12 @@
             running=len(self.limiter.running),
             queued=len(self.limiter.queue),
             pending=self.fresh.count(now),
-            latency=int(self.latency),
+            latency=int(self.limiter.latency),
             ramp=self.ramp.at(now),
             leaving=self.leaving,
         )
 
-    def told(self, now: int) -> load.Load:
+    def told(self, now: int) -> messages.LoadReport:
         """Return what the sidecar reports; a lying one says that it is idle."""
         true = self.observed(now)
         if self.lies:
@@ -425,7 +425,6 @@
         node.runs += 1
         node.limiter.finish(asked.key, limits.Outcome.DONE, self.now)
         took = self.now - asked.sent
-        node.latency += (took - node.latency) / 8
         if self.now < asked.deadline:
             self.budgets[asked.flow.arrival.caller].succeeded()
             self.tally.done += asked.sent >= self.warm_up
@@ -471,7 +470,7 @@
             self.tally.reports += self.counted
             self.at(self.now + HOP, self.hear, target, told)
 
-    def hear(self, node: Node, told: load.Load) -> None:
+    def hear(self, node: Node, told: messages.LoadReport) -> None:
         """Let a node take in a report."""
         node.table.report(told, self.now)
 
--- /dev/null
+++ b/src/ebonystile/core/balance.py
@@ -0,0 +1,82 @@
+"""Hold what a sidecar knows and decides by about load: its policy, siblings, ramp and suspicion."""
+
+import dataclasses
+
+from ebonystile.core import limits, load, placement, suspicion, view
+from ebonystile.peer import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """How a sidecar spreads opens and bounds its upstream. Times are in ms.
+
+    Reports go out each `report_every`, and after a change of work by `report_step` no sooner than
+    `report_least` after the last, to `report_fanout` siblings; one older than `stale_after` does
+    not count. A fresh upstream gets its whole weight after `ramp`.
+    """
+
+    placing: placement.Policy = placement.PowerOfTwo()
+    order: limits.Order = limits.Order.FIFO
+    adaptive: bool = True
+    return_horizon: int = 10_000
+    report_every: int = 1000
+    report_least: int = 100
+    report_step: int = 2
+    report_fanout: int = 8
+    stale_after: int = 3000
+    ramp: int = 30_000
+    frozen_after: int = 30_000
+    suspecting: suspicion.Rules = suspicion.Rules()
+
+
+DEFAULT = Policy()
+
+
+class Balance:
+    """The load of one sidecar's upstream and of its siblings, as far as it is known."""
+
+    def __init__(self, policy: Policy, now: int):
+        self.policy = policy
+        self.table = load.LoadTable(policy.stale_after)
+        self.reporter = load.Reporter(
+            policy.report_every, policy.report_least, policy.report_step, policy.report_fanout
+        )
+        self.receivers: tuple[view.Address, ...] = ()
+        self.fresh = load.Fresh()
+        self.caution = load.Caution(policy.frozen_after)
+        self.ramp = load.Ramp(now, policy.ramp)
+        self.cold = False
+        self.suspicion = suspicion.Suspicion(policy.suspecting)
+
+    def ramp_at(self, name: str, now: int) -> int:
+        """Return the upstream's ramp after its start, its cold spell or its last suspicion."""
+        returned = self.suspicion.ramp(name, now, self.policy.ramp)
+        return min(self.ramp.at(now), returned)
+
+    def report_of(
+        self, name: str, incarnation: int, zone: str, slots: limits.Limiter, flows: int, now: int
+    ) -> messages.LoadReport:
+        """Return what is observed of the upstream, but for its limit of flows and its leaving."""
+        running, queued = len(slots.running), len(slots.queue)
+        return messages.LoadReport(
+            name=name,
+            incarnation=incarnation,
+            zone=zone,
+            at=now,
+            slots=slots.limits.slots,
+            connections=0,
+            flows=flows,
+            running=running,
+            queued=queued,
+            pending=self.fresh.count(now),
+            caution=self.caution.extra(running + queued, slots.limits.slots, now),
+            latency=int(slots.latency),
+            ramp=self.ramp_at(name, now),
+            suspected=self.suspicion.suspected(name),
+        )
+
+
+def make_limiter(policy: Policy, slots: int, queue: int) -> limits.Limiter:
+    """Return the limiter of an upstream that runs nothing yet."""
+    bounds = limits.Limits(slots, queue, policy.order, policy.adaptive)
+    return limits.Limiter(dataclasses.replace(bounds, return_horizon=policy.return_horizon))
--- a/src/ebonystile/core/balancer.py
+++ b/src/ebonystile/core/balancer.py
@@ -9,7 +9,7 @@
 import cbor2
 
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import ranking, state, view
+from ebonystile.core import fairness, ranking, state, view
 from ebonystile.peer import messages
 
 RETRY_OPEN = 500
@@ -50,12 +50,15 @@
 
     address: view.Address
     randomness: state.Randomness
+    gate: fairness.Gate
     view: "view.View"
 
 
-def make_balancer(address: view.Address, randomness: state.Randomness) -> Balancer:
+def make_balancer(
+    address: view.Address, randomness: state.Randomness, gate: fairness.Gate | None = None
+) -> Balancer:
     """Return a balancer that knows no services yet."""
-    return Balancer(address, randomness, view.EMPTY)
+    return Balancer(address, randomness, gate or fairness.Gate(fairness.Bounds()), view.EMPTY)
 
 
 def change_view(balancer: Balancer, newer: view.View) -> bool:
@@ -137,15 +140,28 @@
     if service is None or not service.accepting:
         reason = "no upstream serves it" if service else "unknown service"
         return refuse_open(balancer, caller, flow, attempt, reason, now)
+    deadline = items[5]
+    if type(deadline) is not int:
+        return Drop("malformed")
+    verdict = balancer.gate.admit(service_name, caller[0], deadline, now, balancer.randomness)
+    if isinstance(verdict, fairness.Refuse):
+        return refuse_open(balancer, caller, flow, attempt, verdict.reason, now, verdict.retry_at)
     ranked = ranking.rank(flow, service.accepting)
     target = ranked[attempt % len(ranked)]
     return Relay(target.address, messages.Forward(caller, balancer.address, (), payload))
 
 
 def refuse_open(
-    balancer: Balancer, caller: view.Address, flow: bytes, attempt: int, reason: str, now: int
+    balancer: Balancer,
+    caller: view.Address,
+    flow: bytes,
+    attempt: int,
+    reason: str,
+    now: int,
+    retry_at: int | None = None,
 ) -> Reply:
     """Refuse an open, saying when to come back; opening runs nothing, so this is always true."""
-    retry_at = now + int(RETRY_OPEN * (1 + balancer.randomness.random()))
+    if retry_at is None:
+        retry_at = now + int(RETRY_OPEN * (1 + balancer.randomness.random()))
     refusal = caller_messages.OpenRefused(flow, attempt, reason, retry_at)
     return Reply(caller, caller_messages.TO_CALLER.encode(refusal))
--- a/src/ebonystile/core/effects.py
+++ b/src/ebonystile/core/effects.py
@@ -24,6 +24,14 @@
     forward: messages.Forward
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendLoad:
+    """Tell sibling sidecars the load."""
+
+    addresses: tuple[view.Address, ...]
+    report: messages.LoadReport
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunRequest:
     """Hand a request to the upstream unless `deadline` has passed at that very moment.
@@ -86,6 +94,7 @@
 Effect = (
     ToCaller
     | ToSidecar
+    | SendLoad
     | RunRequest
     | CancelRequest
     | PollFeed
--- a/src/ebonystile/core/events.py
+++ b/src/ebonystile/core/events.py
@@ -88,6 +88,28 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadHeard:
+    """A sibling sidecar tells its load."""
+
+    report: messages.LoadReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamHealth:
+    """The upstream was asked for its health; `ok` is False too where it gave no answer."""
+
+    ok: bool
+    cold: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """The upstream claims to have so many requests, running and queued."""
+
+    work: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed; the shell posts one at least every `TICK_MS`."""
--- a/src/ebonystile/core/limits.py
+++ b/src/ebonystile/core/limits.py
@@ -7,9 +7,13 @@
 import bisect
 import dataclasses
 import enum
+import typing
 
 from ebonystile.core import rng
 
+Key = typing.Hashable
+"""What names a request: the ledger's key in a sidecar."""
+
 MAX_SERVICES = 64
 """Most services with an estimate of their own; further ones share one."""
 
@@ -62,7 +66,7 @@
 class Refused:
     """A queued request that is given up, with its final answer."""
 
-    key: bytes
+    key: Key
     answer: Refuse
 
 
@@ -70,7 +74,7 @@
 class Promoted:
     """What became of queued requests: these run now, those are refused."""
 
-    run: list[bytes]
+    run: list[Key]
     refused: list[Refused]
 
 
@@ -79,17 +83,19 @@
     """A queued request; the order of the queue is that of `rank`."""
 
     rank: tuple[int, int]
-    key: bytes = dataclasses.field(compare=False)
+    key: Key = dataclasses.field(compare=False)
     service: str = dataclasses.field(compare=False)
     deadline: int = dataclasses.field(compare=False)
+    since: int = dataclasses.field(compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Started:
-    """A running request."""
+    """A running request: admitted at `since`, started at `at`."""
 
     service: str
     at: int
+    since: int
 
 
 class Estimates:
@@ -135,20 +141,21 @@
 
     def __init__(self, limits: Limits):
         self.limits = limits
-        self.running: dict[bytes, Started] = {}
+        self.running: dict[Key, Started] = {}
         self.queue: list[Waiting] = []
         self.estimates = Estimates()
         self.concurrency = float(limits.slots)
         self.shrunk_at: int | None = None
         self.next_return = 0
         self.sequence = 0
+        self.latency = 0.0
 
     @property
     def open_slots(self) -> int:
         """Requests that may start now."""
         return max(1, int(self.concurrency)) - len(self.running)
 
-    def admit(self, key: bytes, service: str, deadline: int, now: int, chance: rng.Rng) -> Verdict:
+    def admit(self, key: Key, service: str, deadline: int, now: int, chance: rng.Rng) -> Verdict:
         """Decide on a request that is not yet known here.
 
         With a slot open it runs whatever the estimate says: a wrong estimate could otherwise
@@ -157,11 +164,11 @@
         if deadline <= now:
             return self.refuse("deadline passed", now, chance)
         if self.open_slots > 0 and not self.queue:
-            self.running[key] = Started(service, now)
+            self.running[key] = Started(service, now, now)
             return Run()
         if len(self.queue) >= self.limits.queue:
             return self.refuse("queue full", now, chance)
-        waiting = Waiting(self.rank(deadline), key, service, deadline)
+        waiting = Waiting(self.rank(deadline), key, service, deadline, now)
         place = bisect.bisect(self.queue, waiting)
         start_by = now + self.wait(place, now)
         if start_by + self.estimates.mean(service) > deadline:
@@ -208,7 +215,7 @@
         promoted = Promoted([], self.expire(now, chance))
         while self.queue and self.open_slots > 0:
             waiting = self.queue.pop(0)
-            self.running[waiting.key] = Started(waiting.service, now)
+            self.running[waiting.key] = Started(waiting.service, now, waiting.since)
             promoted.run.append(waiting.key)
         return promoted
 
@@ -219,18 +226,26 @@
             self.queue = [w for w in self.queue if w.deadline > now]
         return [Refused(w.key, self.refuse("deadline passed", now, chance)) for w in late]
 
-    def refuse_queued(self, reason: str, now: int, chance: rng.Rng) -> list[Refused]:
-        """Give up everything queued, as a leaving upstream does."""
-        queued, self.queue = self.queue, []
+    def refuse_queued(
+        self,
+        reason: str,
+        now: int,
+        chance: rng.Rng,
+        services: typing.Container[str] | None = None,
+    ) -> list[Refused]:
+        """Give up everything queued (of the named services), as a leaving upstream does."""
+        queued = [w for w in self.queue if services is None or w.service in services]
+        self.queue = [w for w in self.queue if not (services is None or w.service in services)]
         return [Refused(w.key, self.refuse(reason, now, chance)) for w in queued]
 
-    def finish(self, key: bytes, outcome: Outcome, now: int) -> bool:
+    def finish(self, key: Key, outcome: Outcome, now: int) -> bool:
         """Free the slot of a run that ended; tell whether it held one."""
         started = self.running.pop(key, None)
         if started is None:
             return False
         if outcome is Outcome.DONE:
             self.estimates.learn(started.service, now - started.at)
+            self.latency += (now - started.since - self.latency) / 8
             grown = self.concurrency + 1 / max(1.0, self.concurrency)
             self.concurrency = min(float(self.limits.slots), grown)
         elif outcome is Outcome.SHED:
@@ -249,10 +264,12 @@
         self.shrunk_at = now
         self.concurrency = max(1.0, self.concurrency * SHRINK)
 
-    def cancel(self, key: bytes) -> bool:
+    def cancel(self, key: Key) -> bool:
         """Free the slot or the place in the queue; tell whether the request held one."""
-        if self.running.pop(key, None) is not None:
-            return True
+        return self.running.pop(key, None) is not None or self.withdraw(key)
+
+    def withdraw(self, key: Key) -> bool:
+        """Free the place in the queue; tell whether the request waited there."""
         kept = [w for w in self.queue if w.key != key]
         held = len(kept) < len(self.queue)
         self.queue = kept
--- a/src/ebonystile/core/load.py
+++ b/src/ebonystile/core/load.py
@@ -1,8 +1,9 @@
 """Keep what a sidecar knows of the load of its own upstream and of its siblings.
 
-A sidecar reports its `Load` to a bounded set of the other sidecars of its service, about once a
-second and sooner when it has changed by much. What a report says is observed by the sidecar: flows
-that it holds and requests that it runs. The upstream's own word can only add to it (`Caution`).
+A sidecar sends a `LoadReport` to a bounded set of the other sidecars of its service, about once a
+second and sooner when its load has changed by much. What a report says is observed by the sidecar:
+flows that it holds and requests that it runs. The upstream's own word can only add to that
+(`Caution`).
 
 Times are milliseconds. A report's age is taken from its arrival by the receiver's clock, so clocks
 that differ between instances do no harm.
@@ -13,9 +14,7 @@
 import typing
 
 from ebonystile.core import view
-
-FULL_RAMP = 1000
-"""The ramp of a warm upstream, in thousandths of its weight."""
+from ebonystile.peer import messages
 
 FLIGHT = 20
 """Sends of the last so many ms before a report are taken as not yet in it (ms)."""
@@ -27,43 +26,6 @@
 """Most own sends remembered for one sibling."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """What one sidecar tells the others of its upstream.
-
-    `pending` counts flows opened a moment ago that have not sent a request yet: without it a burst
-    of opens is invisible until it is too late. `caution` is work that only the upstream itself
-    claims to have. `connections` is the most flows it may hold, `latency` the recent time of a
-    request in ms, `ramp` the share of its weight that it may get now, in thousandths.
-    """
-
-    name: str
-    incarnation: int
-    zone: str
-    at: int
-    slots: int
-    connections: int
-    flows: int = 0
-    running: int = 0
-    queued: int = 0
-    pending: int = 0
-    caution: int = 0
-    latency: int = 0
-    ramp: int = FULL_RAMP
-    leaving: bool = False
-    suspected: bool = False
-
-    @property
-    def work(self) -> int:
-        """Requests that the upstream has or is about to have."""
-        return self.running + self.queued + self.pending + self.caution
-
-    @property
-    def weight(self) -> float:
-        """The share of work that the upstream may get, in slots."""
-        return max(self.slots * self.ramp / FULL_RAMP, 0.1)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Standing:
     """How an upstream compares with others if it got one more flow now.
@@ -81,7 +43,7 @@
     age: int = 0
 
 
-def standing(load: Load, sent: int = 0, age: int = 0) -> Standing:
+def standing(load: messages.LoadReport, sent: int = 0, age: int = 0) -> Standing:
     """Return how the load compares, `sent` more opens counted in."""
     return Standing(
         load.name,
@@ -99,7 +61,7 @@
 class Sibling:
     """A sibling's last report, when it came, and when this sidecar passed opens to it since."""
 
-    load: Load
+    load: messages.LoadReport
     received: int
     sent: collections.deque[int]
 
@@ -118,7 +80,7 @@
         self.limit = limit
         self.siblings: dict[str, Sibling] = {}
 
-    def report(self, load: Load, now: int) -> bool:
+    def report(self, load: messages.LoadReport, now: int) -> bool:
         """Take a sibling's report; tell whether it was news.
 
         A report that was overtaken by a later one of the same incarnation is dropped, so that a
@@ -177,9 +139,14 @@
         self.least = least
         self.step = step
         self.fanout = fanout
-        self.last: Load | None = None
+        self.last: messages.LoadReport | None = None
+
+    def ready(self, now: int, leaving: bool) -> bool:
+        """Tell whether a report can be due at all, before the load is worked out."""
+        last = self.last
+        return last is None or now - last.at >= self.least or leaving != last.leaving
 
-    def due(self, load: Load, now: int) -> bool:
+    def due(self, load: messages.LoadReport, now: int) -> bool:
         """Tell whether `load` is to be reported now; the caller then sends it."""
         last = self.last
         if last is not None:
@@ -275,6 +242,6 @@
     def at(self, now: int) -> int:
         """Return the share of the weight now, in thousandths."""
         if self.length <= 0 or now >= self.since + self.length:
-            return FULL_RAMP
+            return messages.FULL_RAMP
         passed = max(0, now - self.since)
-        return self.start + (FULL_RAMP - self.start) * passed // self.length
+        return self.start + (messages.FULL_RAMP - self.start) * passed // self.length
--- a/src/ebonystile/core/opening.py
+++ b/src/ebonystile/core/opening.py
@@ -1,7 +1,7 @@
 """Give a flow a home here, or pass the open on to a sibling."""
 
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import flows, state, view
+from ebonystile.core import flows, siblings, state, view
 from ebonystile.peer import messages
 
 RETRY_OPEN = 250
@@ -28,6 +28,11 @@
         elif flow.handover is None:
             tell_opened(home, flow, message.attempt)
         return
+    chosen = siblings.pick(home, forward, message, now) if flow is None else None
+    if chosen is not None:
+        home.trace("passed", message.flow, target=chosen.name)
+        home.forward_to(chosen, forward)
+        return
     if flow is None and home.serving(message.service) and len(home.flows) < home.limits.flows:
         tell_opened(home, take(home, forward, message, now), message.attempt)
         return
@@ -53,6 +58,7 @@
         {incarnation},
     )
     home.flows[flow.id] = flow
+    home.balance.fresh.open(flow.id, now)
     home.trace("opened", flow.id, service=flow.service)
     return flow
 
--- a/src/ebonystile/core/placement.py
+++ b/src/ebonystile/core/placement.py
@@ -11,6 +11,7 @@
 import typing
 
 from ebonystile.core import load, ranking, rng, view
+from ebonystile.peer import messages
 
 PANIC = 0.5
 """If more than this share of the known siblings is suspected, suspicion is ignored."""
@@ -87,7 +88,7 @@
 def choose(
     policy: Policy,
     flow: bytes,
-    own: load.Load,
+    own: messages.LoadReport,
     table: load.LoadTable,
     siblings: typing.Iterable[view.Endpoint],
     now: int,
@@ -103,7 +104,7 @@
     scene = Scene(flow, load.standing(own), own.zone, _usable(known), endpoints)
     if scene.own.room and not (own.suspected and scene.siblings):
         # A cold upstream needs a little work to get warm: one request at a time.
-        if own.work == 0 and own.ramp < load.FULL_RAMP:
+        if own.work == 0 and own.ramp < messages.FULL_RAMP:
             return None
         return decide(policy, scene, chance)
     if scene.siblings:
--- a/src/ebonystile/core/requests.py
+++ b/src/ebonystile/core/requests.py
@@ -3,7 +3,7 @@
 import functools
 
 from ebonystile.caller import messages
-from ebonystile.core import effects, events, flows, ledger, state
+from ebonystile.core import effects, events, flows, ledger, limits, siblings, state
 
 ANSWER_ID_BYTES = 8
 
@@ -23,7 +23,7 @@
 
 def retry_time(home: state.State, now: int) -> int:
     """Return when a refused caller should come back, spread so that callers do not in step."""
-    wait = max(RETRY_LEAST, home.slots.expected_wait())
+    wait = max(RETRY_LEAST, home.slots.wait(len(home.slots.queue), now))
     return now + int(wait * (1 + home.randomness.random()))
 
 
@@ -77,6 +77,7 @@
 
 def on_request(home: state.State, flow: flows.Flow, message: messages.Request, now: int) -> None:
     """Take in one part of a request."""
+    home.balance.fresh.request(flow.id)
     entry = home.ledger.get(flow.id, message.request)
     if entry is None:
         entry = begin(home, flow, message, now)
@@ -178,39 +179,39 @@
 
 def admit(home: state.State, flow: flows.Flow, entry: ledger.Entry, now: int) -> None:
     """Start a whole request, queue it, or refuse it."""
-    reason = ""
-    if entry.deadline <= now:
-        reason = "its deadline has passed"
-    elif not home.serving(flow.service):
+    if not home.serving(flow.service):
         reason = home.leaving or "the upstream does not serve the service now"
-    elif not home.slots.has_room(entry.deadline, now):
-        reason = "it would not be done by its deadline"
-    if reason:
         refuse(home, flow, entry.request, entry.deadline, reason, now)
         return
+    verdict = home.slots.admit(entry.key, entry.service, entry.deadline, now, home.randomness)
+    if isinstance(verdict, limits.Refuse):
+        refuse(home, flow, entry.request, entry.deadline, verdict.reason, now, verdict.retry_at)
+        return
     entry.state = ledger.State.QUEUED
-    home.slots.queue[entry.key] = entry.deadline
     home.trace("entered", flow.id, entry.request, path=entry.path)
-    start_waiting(home, now)
+    if isinstance(verdict, limits.Run):
+        start(home, entry, now)
     if entry.state is ledger.State.QUEUED or entry.total > 1:
         home.tell(flow, messages.Running(flow.id, entry.request))
 
 
 def start_waiting(home: state.State, now: int) -> None:
     """Start queued requests while slots are free, refusing those whose time has run out."""
-    while home.slots.queue and len(home.slots.running) < home.slots.limit:
-        key, deadline = home.slots.queue.popitem(last=False)
-        entry = home.ledger.entries[key]
-        flow = home.flows.get(entry.flow)
-        if flow is None or deadline <= now:
-            give_up(home, entry, "its deadline has passed", now)
-            continue
-        start(home, entry, now)
+    promoted = home.slots.promote(now, home.randomness)
+    give_up_refused(home, promoted.refused, now)
+    for key in promoted.run:
+        start(home, home.ledger.entries[key], now)
+
+
+def give_up_refused(home: state.State, refused: list[limits.Refused], now: int) -> None:
+    """Tell the callers of requests that lost their place in the queue."""
+    for each in refused:
+        entry = home.ledger.entries[each.key]
+        give_up(home, entry, each.answer.reason, now, each.answer.retry_at)
 
 
 def start(home: state.State, entry: ledger.Entry, now: int) -> None:
     """Hand a request to the upstream. Its record stands in the ledger already."""
-    home.slots.running.add(entry.key)
     entry.state = ledger.State.RUNNING
     entry.started_at = now
     body = b"".join(entry.parts[number] for number in range(entry.total))
@@ -223,25 +224,24 @@
     )
 
 
-def give_up(home: state.State, entry: ledger.Entry, reason: str, now: int) -> None:
+def give_up(
+    home: state.State, entry: ledger.Entry, reason: str, now: int, retry_at: int | None = None
+) -> None:
     """Refuse a request that has a record but has not started, whether its flow is here or not."""
     flow = home.flows.get(entry.flow)
     if flow is not None:
-        refuse(home, flow, entry.request, entry.deadline, reason, now)
+        refuse(home, flow, entry.request, entry.deadline, reason, now, retry_at)
         return
     forget_parts(home, entry)
     entry.state = ledger.State.NOT_RUN
     entry.reason = reason
-    entry.retry_at = retry_time(home, now)
+    entry.retry_at = retry_time(home, now) if retry_at is None else retry_at
 
 
 def give_up_queued(home: state.State, services: set[str] | None, reason: str, now: int) -> None:
     """Refuse at once every queued request (of the named services, or all)."""
-    for key in list(home.slots.queue):
-        entry = home.ledger.entries[key]
-        if services is None or entry.service in services:
-            del home.slots.queue[key]
-            give_up(home, entry, reason, now)
+    refused = home.slots.refuse_queued(reason, now, home.randomness, services)
+    give_up_refused(home, refused, now)
 
 
 def finish(home: state.State, event: events.Finished, now: int) -> None:
@@ -249,7 +249,8 @@
     entry = home.ledger.entries.get(event.key)
     if entry is None or entry.state is not ledger.State.RUNNING:
         return
-    home.slots.release(entry.key, entry.started_at, now)
+    home.slots.finish(entry.key, limits.Outcome.DONE, now)
+    siblings.note_result(home, True, now)
     if len(event.body) > home.limits.answer_bytes:
         settle_failed(home, entry, "the answer is too large", True, 0, now)
     else:
@@ -270,7 +271,11 @@
     entry = home.ledger.entries.get(event.key)
     if entry is None or entry.state is not ledger.State.RUNNING:
         return
-    home.slots.release(entry.key, entry.started_at, now)
+    shed = not event.may_have_run and event.retry_at > 0
+    home.slots.finish(entry.key, limits.Outcome.SHED if shed else limits.Outcome.FAILED, now)
+    if not shed and not entry.cancelled and now < entry.deadline:
+        # What was cancelled, or came too late to be sent, says nothing about the upstream.
+        siblings.note_result(home, False, now)
     settle_failed(home, entry, event.reason, event.may_have_run, event.retry_at, now)
     start_waiting(home, now)
 
@@ -355,7 +360,7 @@
     elif entry.state in ledger.FINAL:
         tell_outcome(home, flow, entry, now)
     else:
-        home.slots.queue.pop(entry.key, None)
+        home.slots.withdraw(entry.key)
         refuse(home, flow, entry.request, entry.deadline, "cancelled", now)
 
 
@@ -375,10 +380,7 @@
 
 def expire(home: state.State, now: int) -> None:
     """Refuse what can no longer start, cancel what has run out of time, drop old records."""
-    for key, deadline in list(home.slots.queue.items()):
-        if deadline <= now:
-            del home.slots.queue[key]
-            give_up(home, home.ledger.entries[key], "its deadline has passed", now)
+    give_up_refused(home, home.slots.expire(now, home.randomness), now)
     for key in home.slots.running:
         entry = home.ledger.entries[key]
         if entry.deadline <= now and not entry.cancelled:
--- /dev/null
+++ b/src/ebonystile/core/siblings.py
@@ -0,0 +1,102 @@
+"""Exchange loads with the sibling sidecars, and pass opens to them by load."""
+
+import dataclasses
+
+from ebonystile.caller import messages as caller_messages
+from ebonystile.core import effects, events, load, placement, state, view
+from ebonystile.peer import messages
+
+
+def own_load(home: state.State, now: int) -> messages.LoadReport:
+    """Return the load of the upstream beside this sidecar."""
+    own = home.view.endpoints.get(home.key)
+    zone = own.zone if own else ""
+    report = home.balance.report_of(
+        home.name, home.incarnation, zone, home.slots, len(home.flows), now
+    )
+    return dataclasses.replace(
+        report, connections=home.limits.flows, leaving=bool(home.leaving) or not home.caught_up
+    )
+
+
+def report(home: state.State, now: int) -> None:
+    """Tell the siblings the load if it is time to."""
+    balance = home.balance
+    if not balance.receivers or not balance.reporter.ready(now, bool(home.leaving)):
+        return
+    own = own_load(home, now)
+    if balance.reporter.due(own, now):
+        home.emit(effects.SendLoad(balance.receivers, own))
+
+
+def on_view(home: state.State) -> None:
+    """Work out whom to report to, and forget who is no sibling any more.
+
+    Leaving siblings are told too: they pass every open on and need to know where to.
+    """
+    balance = home.balance
+    names: set[str] = set()
+    receivers: dict[view.Address, None] = {}
+    for service in sorted(home.serves):
+        others = [u for u in home.view.services[service].upstreams if u.key != home.key]
+        names.update(u.name for u in others)
+        for each in balance.reporter.receivers(home.key, others):
+            receivers[each.address] = None
+    balance.receivers = tuple(receivers)
+    balance.table.keep(names)
+
+
+def on_heard(home: state.State, event: events.LoadHeard, now: int) -> None:
+    """Take a sibling's report."""
+    home.balance.table.report(event.report, now)
+
+
+def on_health(home: state.State, event: events.UpstreamHealth, now: int) -> None:
+    """Take what the upstream says of its health, or its silence.
+
+    A good word only counts as the answer to a probe of a suspected upstream; otherwise what its
+    requests show is better evidence. A new cold spell starts the ramp anew.
+    """
+    balance = home.balance
+    if event.cold and not balance.cold:
+        balance.ramp = load.Ramp(now, balance.policy.ramp)
+    balance.cold = event.cold
+    if not balance.suspicion.suspected(home.name):
+        if not event.ok:
+            note_result(home, False, now)
+    elif balance.suspicion.due_probes(now) and balance.suspicion.probed(home.name, event.ok, now):
+        home.trace("trusted")
+
+
+def note_result(home: state.State, good: bool, now: int) -> None:
+    """Note how a request or a check of the upstream went."""
+    if good:
+        home.balance.suspicion.succeeded(home.name, now)
+    elif home.balance.suspicion.failed(home.name, now):
+        home.trace("suspected")
+
+
+def pick(
+    home: state.State, forward: messages.Forward, message: caller_messages.Open, now: int
+) -> view.Endpoint | None:
+    """Return the sibling that should take an open, or None to keep it or to walk the ranking.
+
+    An open is passed by load once only: two sidecars that each believe the other idle would hand
+    it to and fro, and its caller would wait.
+    """
+    if forward.visited or message.service not in home.serves:
+        return None
+    choices = home.siblings(message.service)
+    name = placement.choose(
+        home.balance.policy.placing,
+        message.flow,
+        own_load(home, now),
+        home.balance.table,
+        choices,
+        now,
+        home.randomness,
+    )
+    if name is None:
+        return None
+    home.balance.table.sent(name, now)
+    return next(u for u in choices if u.name == name)
--- a/src/ebonystile/core/sidecar.py
+++ b/src/ebonystile/core/sidecar.py
@@ -9,6 +9,7 @@
 from ebonystile import errors
 from ebonystile.caller import messages as caller_messages
 from ebonystile.core import (
+    balance,
     effects,
     events,
     feeds,
@@ -17,6 +18,7 @@
     ledger,
     opening,
     requests,
+    siblings,
     state,
     view,
 )
@@ -32,15 +34,17 @@
     limits: state.Limits,
     randomness: state.Randomness,
     now: int,
+    policy: balance.Policy = balance.DEFAULT,
 ) -> state.State:
     """Return the state of a sidecar that has just started."""
-    return state.State(name, incarnation, limits, randomness, now)
+    return state.State(name, incarnation, limits, randomness, now, policy)
 
 
 def decide(home: state.State, event, now: int) -> list[effects.Effect]:
     """Take in one event at time `now` (ms) and return what is to be done, in order."""
     notice_pause(home, now)
     on_event(event, home, now)
+    siblings.report(home, now)
     return home.take_effects()
 
 
@@ -119,6 +123,7 @@
     before = home.serves
     home.view = event.view
     home.serves = event.view.services_of(home.name)
+    siblings.on_view(home)
     home.caught_up = True
     lost = set(before - home.serves)
     if lost:
@@ -139,6 +144,21 @@
     handover.advance(home, now)
 
 
+@on_event.register
+def _(event: events.LoadHeard, home, now):
+    siblings.on_heard(home, event, now)
+
+
+@on_event.register
+def _(event: events.UpstreamHealth, home, now):
+    siblings.on_health(home, event, now)
+
+
+@on_event.register
+def _(event: events.UpstreamLoad, home, now):
+    home.balance.caution.claim(event.work, now)
+
+
 @on_event.register
 def _(event: events.Tick, home, now):
     requests.expire(home, now)
@@ -254,7 +274,7 @@
 def _(message: caller_messages.Close, home, flow, now):
     flow.feeds.clear()
     for entry in home.ledger.of_flow(flow.id):
-        if home.slots.queue.pop(entry.key, None) is not None:
+        if home.slots.withdraw(entry.key):
             requests.give_up(home, entry, "the flow was closed", now)
     del home.flows[flow.id]
     home.trace("closed", flow.id)
--- a/src/ebonystile/core/state.py
+++ b/src/ebonystile/core/state.py
@@ -8,19 +8,16 @@
 import typing
 
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import effects, flows, ledger, ranking, slots, view
+from ebonystile.core import balance, effects, flows, ledger, ranking, rng, view
 from ebonystile.peer import messages
 
 
-class Randomness(typing.Protocol):
+class Randomness(rng.Rng, typing.Protocol):
     """The part of `random.Random` that the cores use; the shell or a test passes it in."""
 
     def randbytes(self, n: int) -> bytes:
         """Return `n` random bytes."""
 
-    def random(self) -> float:
-        """Return a number from 0 up to 1."""
-
     def randrange(self, stop: int) -> int:
         """Return a whole number from 0 up to `stop`."""
 
@@ -72,6 +69,7 @@
         limits: Limits,
         randomness: Randomness,
         now: int,
+        policy: balance.Policy = balance.DEFAULT,
     ):
         self.name = name
         self.key = view.key_of(name)
@@ -82,7 +80,8 @@
         self.serves: frozenset[str] = frozenset()
         self.flows: dict[bytes, flows.Flow] = {}
         self.ledger = ledger.Ledger(limits.ledger, limits.ledger_margin)
-        self.slots = slots.make_slots(limits.slots, limits.queue)
+        self.slots = balance.make_limiter(policy, limits.slots, limits.queue)
+        self.balance = balance.Balance(policy, now)
         self.sources: dict[str, Source] = {}
         self.upload_bytes = 0
         self.leaving = ""
--- a/src/ebonystile/core/suspicion.py
+++ b/src/ebonystile/core/suspicion.py
@@ -12,6 +12,7 @@
 import typing
 
 from ebonystile.core import load
+from ebonystile.peer import messages
 
 MAX_PEERS = 4096
 """Most peers on which a record is kept; a record exists only for those that failed of late."""
@@ -179,7 +180,7 @@
         """Return the share of its weight, in thousandths, that a peer may get after its return."""
         peer = self.peers.get(name)
         if peer is None or peer.returned is None:
-            return load.FULL_RAMP
+            return messages.FULL_RAMP
         return load.Ramp(peer.returned, length).at(now)
 
     def keep(self, names: typing.Container[str]) -> None:
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -53,6 +53,7 @@
         self.leave_by = 0
         self.drained_at = 0
         self.asking_health = False
+        self.asking_load = False
         self.loop = loop.Loop()
         self.peers = self.loop.listen(config.address, self.on_peer)
         self.server = server.serve(
@@ -61,6 +62,7 @@
         self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
         self.loop.every(events.TICK_MS, self.tick)
         self.loop.every(config.health_poll_ms, self.ask_health)
+        self.loop.every(config.load_poll_ms, self.ask_load)
         loop.on_signals(self.loop, self.leave)
 
     def run(self) -> None:
@@ -95,6 +97,8 @@
             return
         if type(message) is messages.Forward:
             self.take(events.Arrived(message))
+        elif type(message) is messages.LoadReport:
+            self.take(events.LoadHeard(message))
 
     def on_view(self, newer: view.View) -> None:
         """Act by a newer view, or learn that the present one is still in force."""
@@ -146,19 +150,38 @@
         self.take(events.Leave(reason))
 
     def ask_health(self) -> None:
-        """Read whether the upstream drains by itself; its silence changes nothing."""
+        """Read whether the upstream is well, cold, or drains by itself."""
         if not self.asking_health:
             self.asking_health = True
             self.control.submit(self.upstream.health).add_done_callback(self.on_health)
 
     def on_health(self, future: concurrent.futures.Future) -> None:
-        """Leave when the upstream says that it drains."""
+        """Tell the core the upstream's health; leave when it says that it drains."""
         self.asking_health = False
         if future.cancelled() or future.exception() is not None:
             self.counts["health_failed"] += 1
-        elif future.result().draining and not self.core.leaving:
+            self.post(events.UpstreamHealth(False))
+            return
+        health = future.result()
+        self.post(events.UpstreamHealth(health.ok, health.cold))
+        if health.draining and not self.core.leaving:
             self.post(events.Leave("the upstream drains"))
 
+    def ask_load(self) -> None:
+        """Read what load the upstream claims to have; its silence changes nothing."""
+        if not self.asking_load:
+            self.asking_load = True
+            self.control.submit(self.upstream.load).add_done_callback(self.on_load)
+
+    def on_load(self, future: concurrent.futures.Future) -> None:
+        """Give the core the upstream's claim."""
+        self.asking_load = False
+        if future.cancelled() or future.exception() is not None:
+            self.counts["load_failed"] += 1
+        else:
+            claim = future.result()
+            self.post(events.UpstreamLoad(claim.running + claim.queued))
+
     # What is to be done
 
     def hand_over_request(self, job: client.Job) -> client.Reply:
@@ -245,6 +268,14 @@
     loop.send(daemon.peers, daemon.seal.seal(body), effect.address)
 
 
+@carry_out.register
+def _(effect: effects.SendLoad, daemon):
+    body = messages.PACKET_PATH.to_items(effect.report)
+    for address in effect.addresses:
+        loop.send(daemon.peers, daemon.seal.seal(body), address)
+    daemon.counts["load_reports"] += len(effect.addresses)
+
+
 @carry_out.register
 def _(effect: effects.RunRequest, daemon):
     job = client.Job(
--- a/tests/policy_helpers.py
+++ b/tests/policy_helpers.py
@@ -1,6 +1,7 @@
 """Loads and endpoints for the tests of placement, with only what a case is about spelled out."""
 
 from ebonystile.core import load, view
+from ebonystile.peer import messages
 
 
 def endpoints(count, zone="z"):
@@ -9,7 +10,7 @@
 
 def load_of(name="me", at=0, **given):
     values = {"incarnation": 1, "zone": "z", "slots": 2, "connections": 2000} | given
-    return load.Load(name=name, at=at, **values)
+    return messages.LoadReport(name=name, at=at, **values)
 
 
 def table_of(*loads, now=0):
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -43,7 +43,7 @@
 def test_status_of_a_sidecar():
     subject = make_subject(answers.SIDECAR, answers.Surroundings(1, "", ("b1",), ("bad",)))
     hold_flow(subject)
-    subject.core.slots.running.add((FLOW, ID))
+    subject.core.slots.admit((FLOW, ID), "ledger", 1 << 60, 0, random.Random(1))
     subject.core.serves = frozenset({"s"})
     status = answers.answer(messages.StatusRequest(ID), subject)
     assert (status.revision, status.flows, status.running, status.queued) == (7, 1, 1, 1)
--- /dev/null
+++ b/tests/test_spreading.py
@@ -0,0 +1,187 @@
+"""Check how the cores together spread opens over the sidecars of a service, and refuse."""
+
+import pytest
+
+import tests.wire as wires
+from ebonystile.caller import messages as caller_messages
+from ebonystile.core import call, events, fairness, view
+from ebonystile.peer import messages
+
+SECOND = 1000
+
+
+def busy(wire, *homes):
+    """Let upstreams claim that all their slots are taken."""
+    for home in homes:
+        wire.post(home, events.UpstreamLoad(home.core.limits.slots))
+    wire.run(2 * SECOND)
+
+
+def open_flows(wire, count):
+    """Open flows one after another, so that none is still pending when the next comes."""
+    callers = []
+    for _ in range(count):
+        callers.append(wire.add_caller())
+        wire.run(250)
+    assert all(c.token for c in callers)
+    return callers
+
+
+def holders(wire, callers):
+    """Return how many of the callers' flows each upstream holds."""
+    held = dict.fromkeys((h.name for h in wire.homes.values()), 0)
+    for home in wire.homes.values():
+        held[home.name] = sum(1 for c in callers if c.flow in home.core.flows)
+    return held
+
+
+def test_opens_pass_a_busy_upstream_by():
+    """One of three upstreams is busy. A third of all callers is ranked there first.
+
+    Its sidecar passes their opens to the others, so that nobody waits behind the busy one's queue.
+    """
+    wire = wires.make_service(slots=8)
+    home = next(iter(wire.homes.values()))
+    busy(wire, home)
+    callers = open_flows(wire, 20)
+    assert holders(wire, callers)[home.name] == 0
+
+
+def test_passed_open_is_not_passed_again():
+    """Every sidecar believes that some other is less loaded. An open must not go to and fro."""
+    wire = wires.make_service(slots=8)
+    busy(wire, *wire.homes.values())
+    wire.judge = lambda source, target, kind: [] if kind == "LoadReport" else [1]
+    for home in wire.homes.values():
+        for other in wire.homes.values():
+            idle = messages.LoadReport(other.name, 1, wires.ZONE, wire.now, 8, 9)
+            home.core.balance.table.report(idle, wire.now)
+    callers = [wire.add_caller() for _ in range(6)]
+    wire.run(100)
+    assert all(c.token for c in callers)
+    assert sum(1 for _, _, t in wire.traces if t.event == "passed") == 6
+
+
+def test_leaving_upstream_gets_no_new_flow_from_stale_balancers():
+    """An upstream leaves; the balancers and its siblings do not learn of it from any view.
+
+    Its sidecar passes every open on, and its siblings stop passing to it with its next report.
+    """
+    wire = wires.make_service(slots=8)
+    leaver = next(iter(wire.homes.values()))
+    wire.post(leaver, events.Leave("test"))
+    busy(wire, *(h for h in wire.homes.values() if h is not leaver))
+    callers = open_flows(wire, 20)
+    assert holders(wire, callers)[leaver.name] == 0
+
+
+def fail_runs(wire, home):
+    """Make an upstream fail every request at once."""
+
+    def start(at, effect, ordinary=wire.start):
+        if at is not home:
+            ordinary(at, effect)
+            return
+        failed = events.Failed(effect.key, "connection reset", True)
+        wire.at(1, lambda: wire.post_to(at, at.core, failed))
+
+    wire.start = start
+
+
+def test_upstream_that_fails_fast_does_not_attract_work():
+    """An upstream fails every request at once, so it always looks idle.
+
+    By load alone all new flows would go there and fail. After three failures its sidecar suspects
+    it and passes opens on; good checks of its health end that, and it comes back by a ramp.
+    """
+    wire = wires.make_service()
+    bad = next(iter(wire.homes.values()))
+    fail_runs(wire, bad)
+    for _ in range(12):
+        caller = wire.add_caller()
+        caller.request("p", b"", wire.now + 5 * SECOND, True, wire.now)
+    wire.run(SECOND)
+    assert bad.core.balance.suspicion.suspected(bad.name)
+    callers = open_flows(wire, 15)
+    assert holders(wire, callers)[bad.name] == 0
+    for _ in range(2):
+        wire.post(bad, events.UpstreamHealth(True))
+    assert not bad.core.balance.suspicion.suspected(bad.name)
+    assert bad.core.balance.ramp_at(bad.name, wire.now) == 250
+
+
+def test_all_upstreams_suspected_still_serve():
+    """A shared dependency fails, and every upstream is suspected: a panic.
+
+    To refuse all would turn a fault that passes into an outage; opens still find a home.
+    """
+    wire = wires.make_service()
+    for home in wire.homes.values():
+        for _ in range(3):
+            wire.post(home, events.UpstreamHealth(False))
+    wire.run(2 * SECOND)
+    callers = [wire.add_caller() for _ in range(10)]
+    wire.run(SECOND)
+    assert all(c.token for c in callers)
+
+
+def test_request_that_would_be_late_is_refused_at_once_and_never_runs():
+    """An upstream of one slot takes 200 ms a request; ten requests must be done in 500 ms.
+
+    Two can be. The others hear at once that they were not run and when to come back, each at a
+    time of its own, and copies that come later do not run.
+    """
+    wire = wires.make_service(count=1, slots=1)
+    wire.run_ms = 200
+    caller = wire.add_caller()
+    wire.run(100)
+    first = caller.request("p", b"", wire.now + SECOND, False, wire.now)
+    wire.run(400)
+    sent_at = wire.now
+    caller.outcomes.clear()
+    sent = [caller.request("p", b"", wire.now + 500, False, wire.now) for _ in range(10)]
+    wire.run(60)
+    refused = [o for o in caller.outcomes if o.outcome is call.Outcome.NOT_RUN]
+    assert len(refused) == 8
+    assert all(o.retry_at > sent_at + 200 for o in refused)
+    assert len({o.retry_at for o in refused}) > 4
+    wire.run(3 * SECOND)
+    assert sum(wire.all_runs[r] for r in sent) == 2
+    assert wire.all_runs[first] == 1
+
+
+def test_load_reports_are_few():
+    """Three idle sidecars tell each other their load about once a second."""
+    wire = wires.make_service()
+    reports = []
+    wire.judge = lambda source, target, kind: (kind == "LoadReport" and reports.append(1)) or [1]
+    wire.run(10 * SECOND)
+    assert 50 <= len(reports) <= 70
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_balancer_refuses_opens_beyond_what_it_carries_fairly(seed):
+    """One caller address asks for ten times what a balancer carries, another for little.
+
+    Each refusal tells when to come back; the modest caller hardly notices.
+    """
+    wire = wires.make_service(count=1, balancers=1, seed=seed)
+    part = next(iter(wire.balancers.values()))
+    part.gate = fairness.Gate(fairness.Bounds(opens_per_second=100))
+    served = {"greedy": 0, "modest": 0}
+    asked = dict(served)
+    for at in range(5 * SECOND):
+        for name, address, chance in (("greedy", "10.0.0.4", 1.0), ("modest", "10.0.0.5", 0.02)):
+            if wire.rng.random() >= chance:
+                continue
+            opening = caller_messages.Open(
+                wire.rng.randbytes(16), wires.SERVICE, b"", 0, wire.now + 9 * SECOND, bytes(160)
+            )
+            payload = caller_messages.FROM_CALLER.encode(opening)
+            source: view.Address = (address, 1)
+            action = wires.balancer.route(part, source, payload, wire.now + at)
+            if at > 2 * SECOND:
+                asked[name] += 1
+                served[name] += isinstance(action, wires.balancer.Relay)
+    assert served["modest"] > 0.85 * asked["modest"]
+    assert 0.05 * asked["greedy"] < served["greedy"] < 0.15 * asked["greedy"]
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -1,6 +1,7 @@
 """Check that those who fail are left alone, carefully tried, and never all at once."""
 
-from ebonystile.core import load, suspicion
+from ebonystile.core import suspicion
+from ebonystile.peer import messages
 
 RULES = suspicion.Rules(hold=2000, probes=2, probe_timeout=1000, returns=2)
 
@@ -69,8 +70,8 @@
     returned(tracker, "a", 2000)
     assert not tracker.suspected("a")
     assert tracker.ramp("a", 2000, 10_000) == 250
-    assert tracker.ramp("a", 12_000, 10_000) == load.FULL_RAMP
-    assert tracker.ramp("never", 0, 10_000) == load.FULL_RAMP
+    assert tracker.ramp("a", 12_000, 10_000) == messages.FULL_RAMP
+    assert tracker.ramp("never", 0, 10_000) == messages.FULL_RAMP
 
 
 def test_flapping_peer_is_left_alone_for_longer_each_time():
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -209,6 +209,16 @@
 
         self.send(source, target, kind, deliver)
 
+    def to_sibling(self, source, target: view.Address, report: messages.LoadReport) -> None:
+        """Send a load report to whichever process has the address by then."""
+
+        def deliver():
+            home = self.homes.get(target)
+            if home is not None:
+                self.post(home, events.LoadHeard(report))
+
+        self.send(source, target, "LoadReport", deliver)
+
     def to_caller(self, source, target: view.Address, payload: bytes) -> None:
         """Send a datagram to a caller."""
         message = caller_messages.TO_CALLER.decode(payload)
@@ -239,6 +249,9 @@
             self.return_by(home, effect)
         elif isinstance(effect, effects.ToSidecar):
             self.to_home(home.address, effect.address, effect.forward)
+        elif isinstance(effect, effects.SendLoad):
+            for address in effect.addresses:
+                self.to_sibling(home.address, address, effect.report)
         elif isinstance(effect, effects.RunRequest):
             self.start(home, effect)
         elif isinstance(effect, effects.PollFeed):
