Give operators settings for spreading and refusal, and callers a retry budget

Policy settings of sidecars (spreading) and balancers (gate), from which the cores' policies are made; the loop tells how long a socket has not been emptied, which lowers what the gate lets in. Caller.ask sends a request on a flow of its own and repeats it only where it was not run (or is idempotent), no sooner than told, within a budget; lost opens back off with jitter.

--- a/src/ebonystile/caller/client.py
+++ b/src/ebonystile/caller/client.py
@@ -10,14 +10,16 @@
 import random
 import secrets
 import threading
+import time
 import typing
 from collections import abc
 
 from ebonystile import clock, errors, loop
-from ebonystile.caller import messages
+from ebonystile.caller import budget, messages
 from ebonystile.core import call, view
 
 TICK_MS = 20
+DEFAULT_ALLOWANCE = budget.Allowance()
 
 
 class Flow:
@@ -109,10 +111,17 @@
 class Caller:
     """A program's way to the system: one socket and one thread for all its flows."""
 
-    def __init__(self, balancers: abc.Callable[[], abc.Sequence[view.Address]], local: str):
+    def __init__(
+        self,
+        balancers: abc.Callable[[], abc.Sequence[view.Address]],
+        local: str,
+        allowance: budget.Allowance,
+    ):
         self.balancers = balancers
         self.randomness = random.Random(secrets.randbits(64))
         self.flows: dict[bytes, Flow] = {}
+        self.budget = budget.Budget(allowance, clock.now())
+        self.budget_lock = threading.Lock()
         self.loop = loop.Loop()
         self.udp = self.loop.listen((local, 0), self.on_datagram)
         self.loop.every(TICK_MS, self.tick)
@@ -131,6 +140,41 @@
         self.loop.post(begin)
         return flow
 
+    def ask(
+        self, service: str, path: str, body: bytes, deadline: int, *, idempotent: bool
+    ) -> call.Result:
+        """Send a request on a flow of its own and return its answer; raise `CallError` if none.
+
+        Being on a flow of its own, it is placed by the load of that moment. Where it surely was
+        not run it is sent again, on another flow, when the refusal says and while the retry budget
+        lasts; an idempotent one is sent again too where its outcome is unknown.
+        """
+        backoff = budget.Backoff()
+        while True:
+            flow = self.open(service, deadline)
+            try:
+                result = flow.request(path, body, deadline, idempotent=idempotent)
+            except errors.NotRunError as error:
+                again = backoff.next_at(clock.now(), self.randomness, error.retry_at)
+                if not self.may_repeat(again, deadline):
+                    raise
+            except errors.OutcomeUnknownError:
+                again = backoff.next_at(clock.now(), self.randomness)
+                if not (idempotent and self.may_repeat(again, deadline)):
+                    raise
+            else:
+                with self.budget_lock:
+                    self.budget.succeeded()
+                return result
+            finally:
+                flow.close()
+            time.sleep(clock.seconds_until(again))
+
+    def may_repeat(self, again: int, deadline: int) -> bool:
+        """Take a repeat at `again` from the budget, unless it would be too late."""
+        with self.budget_lock:
+            return again < deadline and self.budget.spend(clock.now())
+
     def close(self) -> None:
         """End the thread and the socket."""
         self.loop.post(self.loop.stop)
@@ -197,7 +241,8 @@
 def make_caller(
     balancers: abc.Sequence[view.Address] | abc.Callable[[], abc.Sequence[view.Address]],
     local: str = "127.0.0.1",
+    allowance: budget.Allowance = DEFAULT_ALLOWANCE,
 ) -> Caller:
     """Return a caller that sends to `balancers`: their addresses, or what returns them."""
     source = balancers if callable(balancers) else lambda: balancers
-    return Caller(source, local)
+    return Caller(source, local, allowance)
--- a/src/ebonystile/core/call.py
+++ b/src/ebonystile/core/call.py
@@ -107,6 +107,7 @@
         self.attempt = 0
         self.open_deadline = deadline
         self.open_resend_at = now
+        self.open_wait = RESEND_FIRST
         self.refusal: messages.OpenRefused | None = None
         self.closed = False
         self.reopened = 0
@@ -188,7 +189,9 @@
         """Open the flow, each time at the next upstream of its ranking."""
         if self.open_resend_at > now or now >= self.open_deadline:
             return
-        self.open_resend_at = now + RESEND_FIRST
+        # Jitter and longer waits keep callers that were all cut off from coming back in step.
+        self.open_resend_at = now + int(self.open_wait * (0.75 + self.randomness.random() / 2))
+        self.open_wait = min(RESEND_LIMIT, 2 * self.open_wait)
         opening = messages.Open(self.flow, self.service, b"", self.attempt, self.open_deadline, b"")
         lacking = messages.OPEN_BYTES - len(messages.FROM_CALLER.encode(opening))
         self.send(dataclasses.replace(opening, padding=bytes(max(0, lacking))))
@@ -445,6 +448,7 @@
         self.token = b""
         self.attempt = 0
         self.open_resend_at = now
+        self.open_wait = RESEND_FIRST
         self.open_deadline = max(
             [self.open_deadline, now + RESEND_LIMIT * 15]
             + [pending.deadline for pending in self.pending.values()]
--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -6,7 +6,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import balancer, view
-from ebonystile.daemon import server, watch
+from ebonystile.daemon import server, tuning, watch
 from ebonystile.peer import messages, seal
 
 QUIET_MS = 1_000
@@ -19,7 +19,9 @@
     def __init__(self, config: settings.BalancerSettings):
         self.config = config
         self.incarnation = secrets.randbits(63)
-        self.core = balancer.make_balancer(config.address, random.Random(self.incarnation))
+        self.core = balancer.make_balancer(
+            config.address, random.Random(self.incarnation), tuning.make_gate(config.gate)
+        )
         self.seal = seal.make_seal(config.keys, self.incarnation)
         self.counts: collections.Counter[str] = collections.Counter()
         self.loop = loop.Loop()
@@ -85,10 +87,11 @@
         self.leave_by = self.heard_at + self.config.drain_ms
 
     def tick(self) -> None:
-        """End a leaving balancer whose work is done."""
+        """Note how far the loop is behind, and end a leaving balancer whose work is done."""
+        now = clock.now()
+        self.core.gate.observe(self.loop.lag(self.callers), now)
         if not self.leave_by:
             return
-        now = clock.now()
         if now >= self.leave_by or now - self.heard_at >= QUIET_MS:
             self.loop.stop()
 
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import effects, events, sidecar, state, view
-from ebonystile.daemon import server, watch
+from ebonystile.daemon import server, tuning, watch
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -39,6 +39,7 @@
             make_limits(config),
             random.Random(secrets.randbits(64)),
             now,
+            tuning.make_policy(config.spreading),
         )
         self.seal = seal.make_seal(config.keys, self.incarnation)
         self.bulk_seal = seal.make_seal(config.keys, self.incarnation)
--- a/src/ebonystile/loop.py
+++ b/src/ebonystile/loop.py
@@ -19,6 +19,9 @@
 BATCH = 64
 """Datagrams taken from one socket before the next one and the inbox get their turn."""
 
+MAX_LAG_MS = 1000
+"""Longest time that a datagram is taken to have waited, in ms: the socket's buffer is bounded."""
+
 BUFFER_BYTES = 8 << 20
 """Socket buffer asked for, in bytes; the kernel may give less."""
 
@@ -39,6 +42,7 @@
         self.selector = selectors.DefaultSelector()
         self.inbox: collections.deque[abc.Callable[[], None]] = collections.deque()
         self.timers: list[Timer] = []
+        self.behind_since: dict[socket.socket, int] = {}
         self.running = True
         self.waker, self.woken = socket.socketpair()
         self.waker.setblocking(False)
@@ -63,9 +67,25 @@
     ) -> socket.socket:
         """Return a UDP socket bound to `address` whose datagrams go to `on_datagram`."""
         udp = make_socket(address)
-        self.selector.register(udp, selectors.EVENT_READ, lambda: drain(udp, on_datagram))
+        self.selector.register(
+            udp, selectors.EVENT_READ, lambda: self.on_datagrams(udp, on_datagram)
+        )
         return udp
 
+    def on_datagrams(
+        self, udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]
+    ) -> None:
+        """Take a batch of datagrams, noting since when there have been more than a batch."""
+        if drain(udp, on_datagram):
+            self.behind_since.pop(udp, None)
+        else:
+            self.behind_since.setdefault(udp, clock.now())
+
+    def lag(self, udp: socket.socket) -> int:
+        """Return for how long the socket has not been emptied, in ms: 0 if the loop keeps up."""
+        since = self.behind_since.get(udp)
+        return 0 if since is None else min(MAX_LAG_MS, clock.now() - since)
+
     def on_woken(self) -> None:
         """Empty the waking pipe."""
         try:
@@ -125,8 +145,8 @@
     return udp
 
 
-def drain(udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]) -> None:
-    """Take a batch of datagrams from a socket.
+def drain(udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]) -> bool:
+    """Take a batch of datagrams from a socket; return whether it is empty now.
 
     The kernel reports a past send's ICMP error on the next receive; it says nothing about this
     socket, so it is passed over.
@@ -135,10 +155,11 @@
         try:
             data, source = udp.recvfrom(RECEIVE_BYTES)
         except BlockingIOError:
-            return
+            return True
         except OSError:
             continue
         on_datagram(data, source)
+    return False
 
 
 def send(udp: socket.socket, data: bytes, address: view.Address) -> bool:
--- a/src/ebonystile/operator/reference.py
+++ b/src/ebonystile/operator/reference.py
@@ -14,6 +14,8 @@
     "ebonystile-sidecar": settings.SidecarSettings,
     "ebonystile": settings.OperatorSettings,
     "Each of `keys`": settings.Key,
+    "`gate` of a balancer": settings.GateSettings,
+    "`spreading` of a sidecar": settings.SpreadingSettings,
 }
 
 FORMS = {
@@ -55,6 +57,8 @@
 
 def default_text(value: typing.Any) -> str:
     """Return a default as it would stand in a file."""
+    if isinstance(value, pydantic.BaseModel):
+        return "{}"
     return "null" if value is None else str(value)
 
 
@@ -84,10 +88,10 @@
     if typing.get_origin(annotation) is typing.Literal:
         return " or ".join(f'"{choice}"' for choice in typing.get_args(annotation))
     if typing.get_origin(annotation) is list:
-        return f"list of {type_text(typing.get_args(annotation)[0])}"
+        return f"list of {type_text(typing.get_args(annotation)[0])}".replace("object", "objects")
     if validation.is_model(annotation):
-        return "objects"
-    if annotation is int:
+        return "object"
+    if annotation in (int, float):
         return "number"
     return type_text(optional_of(annotation))
 
--- a/src/ebonystile/settings.py
+++ b/src/ebonystile/settings.py
@@ -149,6 +149,67 @@
     event_limit: int = count(10_000, "Events kept in memory for the time line; oldest go first.")
 
 
+def share(default: float, description: str, *, most: float = 1.0):
+    """Return a field for a share or a small ratio."""
+    return pydantic.Field(default, ge=0, le=most, description=description)
+
+
+class GateSettings(validation.StrictModel):
+    """When a balancer refuses opens; docs/POLICY.md tells how to tune it."""
+
+    opens_per_second: int = count(
+        5_000, "Opens carried a second; beyond it each service and caller gets a fair share."
+    )
+    lag_ms: int = duration(50, "Lag behind the arriving datagrams beyond which less is carried.")
+    return_soonest_ms: int = duration(200, "Soonest that a refused caller is told to come back.")
+    return_latest_ms: int = duration(5 * SECOND, "Latest that a refused caller is told to.")
+
+
+class SpreadingSettings(validation.StrictModel):
+    """How a sidecar spreads opens and bounds its upstream; docs/POLICY.md tells how to tune it."""
+
+    placement: typing.Literal[
+        "power-of-two", "rendezvous", "bounded-loads", "least-of-all", "lexicographic"
+    ] = pydantic.Field(
+        "power-of-two", description="How it is decided whether an open is kept or passed on."
+    )
+    candidates: int = count(2, "Siblings compared for an open (power-of-two).", most=64)
+    work_gap: float = share(
+        0.3, "Requests a slot by which a sibling must have less for an open to go there.", most=100
+    )
+    flow_gap: float = share(0.1, "Share of flows by which it must hold fewer, with work alike.")
+    report_fade: float = share(
+        0.5,
+        "Time in which a report fades towards the mean, in recent request times; 0 never fades.",
+        most=100,
+    )
+    report_ms: int = duration(SECOND, "How often siblings are told the load.", least=100)
+    report_least_ms: int = duration(100, "Least time between two reports of changed load.")
+    report_step: int = count(2, "Change of work, in requests, that is reported early.")
+    report_fanout: int = count(8, "Siblings that are told.", most=64)
+    stale_after_ms: int = duration(3 * SECOND, "Age at which a sibling's report is ignored.")
+    ramp_ms: int = duration(
+        30 * SECOND, "Time in which a fresh or returning upstream gets to its whole weight."
+    )
+    claim_frozen_ms: int = duration(
+        30 * SECOND, "Time after which an unchanged load that the upstream claims is ignored."
+    )
+    queue_order: typing.Literal["fifo", "deadline"] = pydantic.Field(
+        "fifo", description="Which queued request runs next: the oldest or the most urgent."
+    )
+    when_shed: typing.Literal["shrink", "keep"] = pydantic.Field(
+        "shrink", description="What becomes of the slots in use while the upstream sheds."
+    )
+    return_horizon_ms: int = duration(
+        10 * SECOND, "Latest that a refused request is told to come back."
+    )
+    suspect_failures: int = count(3, "Failures in a row that make the upstream suspected.")
+    suspect_hold_ms: int = duration(
+        2 * SECOND, "First time that a suspected upstream is left alone; doubled at each relapse."
+    )
+    suspect_longest_ms: int = duration(2 * MINUTE, "Longest time that it is left alone.")
+
+
 class BalancerSettings(ProcessSettings):
     """The settings of `ebonystile-balancer`."""
 
@@ -156,6 +217,9 @@
     caller_cache_limit: int = count(
         200_000, "Flows whose caller's address or last home is remembered; a soft cache."
     )
+    gate: GateSettings = pydantic.Field(
+        GateSettings(), description="When opens are refused because there are too many."
+    )
 
     @pydantic.model_validator(mode="after")
     def check_addresses(self) -> typing.Self:
@@ -195,6 +259,9 @@
         SECOND, "How often the upstream's health and drain state are read."
     )
     load_poll_ms: int = duration(SECOND, "How often the upstream's load is read.")
+    spreading: SpreadingSettings = pydantic.Field(
+        SpreadingSettings(), description="How work is spread over the sidecars of a service."
+    )
 
     drain_ms: int = duration(
         11 * MINUTE,
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,69 @@
+"""Check what the caller library repeats: what surely was not run, within its budget, no sooner."""
+
+import pytest
+
+from ebonystile import clock, errors
+from ebonystile.caller import budget, client
+from ebonystile.core import call
+
+ANSWER = call.Result(b"r", call.Outcome.ANSWERED, 200, b"done")
+
+
+def not_run(wait=0):
+    return errors.NotRunError("busy", step="request", peer="s", retry_at=clock.now() + wait)
+
+
+def unknown():
+    return errors.OutcomeUnknownError("home lost", step="request", peer="s")
+
+
+class Flow:
+    """Stands in for a flow: gives the next outcome."""
+
+    def __init__(self, outcomes):
+        self.outcomes = outcomes
+
+    def request(self, path, body, deadline, *, idempotent):
+        outcome = self.outcomes.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    def close(self):
+        pass
+
+
+def ask(outcomes, *, idempotent=False, most=10.0, within=5000):
+    """Return what `ask` gives, and how many outcomes were not asked for."""
+    caller = client.make_caller([], allowance=budget.Allowance(most=most, trickle=0))
+    caller.open = lambda service, deadline: Flow(outcomes)
+    try:
+        deadline = clock.now() + within
+        return caller.ask("s", "p", b"", deadline, idempotent=idempotent), len(outcomes)
+    finally:
+        caller.close()
+
+
+def test_not_run_is_asked_again():
+    assert ask([not_run(), not_run(10), ANSWER]) == (ANSWER, 0)
+
+
+def test_unknown_outcome_is_asked_again_only_if_idempotent():
+    """The home of a demand was lost: it may have run, and a repeat could bill twice."""
+    assert ask([unknown(), ANSWER], idempotent=True) == (ANSWER, 0)
+    with pytest.raises(errors.OutcomeUnknownError):
+        ask([unknown(), ANSWER])
+
+
+def test_budget_ends_the_repeats():
+    outcomes = [not_run() for _ in range(9)]
+    with pytest.raises(errors.NotRunError):
+        ask(outcomes, most=3)
+    assert len(outcomes) == 5
+
+
+def test_no_repeat_that_would_be_too_late():
+    outcomes = [not_run(60_000), ANSWER]
+    with pytest.raises(errors.NotRunError):
+        ask(outcomes, within=1000)
+    assert outcomes == [ANSWER]
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -42,6 +42,14 @@
     assert [feed.next(soon()).position for _ in range(5)] == [1, 2, 3, 4, 5]
 
 
+def test_requests_on_flows_of_their_own(running):
+    """Each request is placed anew; together they reach both upstreams, and none is refused."""
+    for number in range(30):
+        asked = running.caller.ask("ledger", "demands", b"%d" % number, soon(), idempotent=False)
+        assert asked.status == 200
+    assert all(s.upstream.get("standin/runs")["runs"] for s in running.sidecars)
+
+
 def test_sigterm_of_a_sidecar_moves_its_flow(running):
     """The sidecar that holds the flow is told to stop while a feed and demands go on.
 
--- /dev/null
+++ b/tests/test_tuning.py
@@ -0,0 +1,63 @@
+"""Check that the operators' policy settings reach the decision cores."""
+
+import socket
+
+import pytest
+
+from ebonystile import clock, loop, settings
+from ebonystile.core import balance, limits, placement
+from ebonystile.daemon import tuning
+
+
+def test_defaults_of_settings_and_cores_agree():
+    assert tuning.make_policy(settings.SpreadingSettings()) == balance.DEFAULT
+
+
+@pytest.mark.parametrize(
+    ("name", "kind"),
+    [
+        ("power-of-two", placement.PowerOfTwo),
+        ("rendezvous", placement.KeepHome),
+        ("bounded-loads", placement.BoundedLoads),
+        ("least-of-all", placement.LeastOfAll),
+        ("lexicographic", placement.Lexicographic),
+    ],
+)
+def test_placement_by_name(name, kind):
+    made = tuning.make_policy(settings.SpreadingSettings(placement=name))
+    assert type(made.placing) is kind
+
+
+def test_values_reach_the_core():
+    config = settings.SpreadingSettings(
+        queue_order="deadline", when_shed="keep", work_gap=2, suspect_hold_ms=200_000
+    )
+    made = tuning.make_policy(config)
+    assert (made.order, made.adaptive) == (limits.Order.DEADLINE, False)
+    assert made.placing.gap == 2
+    assert made.suspecting.longest == 200_000
+
+
+def test_gate():
+    gate = tuning.make_gate(settings.GateSettings(opens_per_second=7, return_soonest_ms=9000))
+    assert (gate.capacity, gate.bounds.return_latest) == (7, 9000)
+
+
+def test_loop_that_does_not_keep_up_shows_a_lag(monkeypatch):
+    """More datagrams wait than one batch takes: each one taken is older than it looks."""
+    time = [1000]
+    monkeypatch.setattr(clock, "now", lambda: time[0])
+    running = loop.Loop()
+    udp = running.listen(("127.0.0.1", 0), lambda data, source: None)
+    try:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for _ in range(loop.BATCH + 1):
+                sender.sendto(b"x", udp.getsockname())
+        running.step()
+        time[0] += 70
+        assert running.lag(udp) == 70
+        running.step()
+        assert running.lag(udp) == 0
+    finally:
+        running.stop()
+        running.run()
