--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import effects, events, sidecar, state, view
-from ebonystile.daemon import server, tuning, watch
+from ebonystile.daemon import answers, reporting, server, tuning, watch
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -57,8 +57,21 @@
         self.asking_load = False
         self.loop = loop.Loop()
         self.peers = self.loop.listen(config.address, self.on_peer)
+        identity = answers.Identity(
+            config.name, answers.SIDECAR, config.zone, self.incarnation, now
+        )
+        self.report = reporting.make_reporter(
+            identity, self.core, self.loop, self.counts, config.event_limit, self.surroundings
+        )
+        self.run_time = self.report.metrics.latency(
+            "run_seconds", "Time from handing a request to the upstream to its answer."
+        )
         self.server = server.serve(
-            config.address, {TRANSFER_PATH: self.on_transfer}, lambda: b"", healthy=self.healthy
+            config.address,
+            {TRANSFER_PATH: self.on_transfer, **self.report.handlers(config.keys)},
+            self.report.metrics.text,
+            healthy=self.healthy,
+            connection_limit=config.tcp_connection_limit,
         )
         self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
         self.loop.every(events.TICK_MS, self.tick)
@@ -68,14 +81,14 @@
 
     def run(self) -> None:
         """Run until the process has left."""
-        logs.event("started", address=":".join(map(str, self.config.address)))
+        self.report.event("process_started", address=":".join(map(str, self.config.address)))
         self.loop.run()
         self.watcher.stop()
         self.server.stop()
         for pool in (self.runs, self.polls, self.bulk, self.control):
             pool.shutdown(wait=False, cancel_futures=True)
         self.upstream.close()
-        logs.event("stopped", **self.counts)
+        logs.event("process_stopped", **self.counts)
 
     # What happens
 
@@ -91,10 +104,10 @@
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Take a datagram from a balancer or another sidecar."""
         try:
-            message = messages.PACKET_PATH.from_items(self.seal.open(data).body)
+            message = messages.unpack(self.seal.open(data).content)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
-            logs.event("datagram-dropped", level="DEBUG", source=source[0], error=str(error))
+            logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
             return
         if type(message) is messages.Forward:
             self.take(events.Arrived(message))
@@ -127,6 +140,10 @@
         """Return a transfer or its reply as it travels."""
         return self.bulk_seal.seal(transfer.TRANSFERS.to_items(message))
 
+    def surroundings(self) -> answers.Surroundings:
+        """Return what operators see of the shell."""
+        return answers.Surroundings(refusals=self.watcher.refusals())
+
     def healthy(self) -> bool:
         """Whether the process has a configuration and takes new work, for `/healthz`."""
         return self.core.view.revision > 0 and not self.core.leaving
@@ -146,7 +163,7 @@
 
     def leave(self, reason: str) -> None:
         """Finish what runs, hand over what stays, then end."""
-        logs.event("leaving", reason=reason)
+        self.report.event("stop_asked", reason=reason)
         self.leave_by = clock.now() + self.config.drain_ms
         self.take(events.Leave(reason))
 
@@ -196,8 +213,14 @@
             )
         return self.upstream.run(job)
 
-    def on_run_done(self, key: tuple[bytes, bytes], future: concurrent.futures.Future) -> None:
-        """Tell the core how a request ended."""
+    def on_run_done(
+        self, key: tuple[bytes, bytes], started: int, future: concurrent.futures.Future
+    ) -> None:
+        """Tell the core how a request that was handed over at `started` ended."""
+        if future.cancelled():
+            return
+        now = clock.now()
+        self.loop.post(functools.partial(self.run_time.record, now, now - started))
         error = future.exception()
         if error is None:
             reply = future.result()
@@ -206,7 +229,7 @@
             retry_at = error.retry_at or 0
             self.post(events.Failed(key, error.reason, error.may_have_run, retry_at))
         else:
-            logs.failure("run-failed", error)
+            logs.failure("run_failed", error)
             self.post(events.Failed(key, EXECUTOR_FAILED, True))
 
     def on_poll_done(self, effect: effects.PollFeed, future: concurrent.futures.Future) -> None:
@@ -247,7 +270,7 @@
             self.post(events.TransferAnswered(sent.flow, future.result()))
             return
         if not isinstance(error, errors.EbonystileError):
-            logs.failure("transfer-failed", error)
+            logs.failure("transfer_failed", error)
         self.post(events.TransferFailed(sent.flow, sent.id, str(error)))
 
 
@@ -259,21 +282,21 @@
 
 @carry_out.register
 def _(effect: effects.ToCaller, daemon):
-    body = messages.PACKET_PATH.to_items(messages.Return(effect.caller, effect.payload))
-    loop.send(daemon.peers, daemon.seal.seal(body), effect.balancer)
+    content = messages.pack_return(messages.Return(effect.caller, effect.payload))
+    loop.send(daemon.peers, daemon.seal.seal_content(content), effect.balancer)
 
 
 @carry_out.register
 def _(effect: effects.ToSidecar, daemon):
-    body = messages.PACKET_PATH.to_items(effect.forward)
-    loop.send(daemon.peers, daemon.seal.seal(body), effect.address)
+    content = messages.pack_forward(effect.forward)
+    loop.send(daemon.peers, daemon.seal.seal_content(content), effect.address)
 
 
 @carry_out.register
 def _(effect: effects.SendLoad, daemon):
-    body = messages.PACKET_PATH.to_items(effect.report)
+    content = messages.pack_load(effect.report)
     for address in effect.addresses:
-        loop.send(daemon.peers, daemon.seal.seal(body), address)
+        loop.send(daemon.peers, daemon.seal.seal_content(content), address)
     daemon.counts["load_reports"] += len(effect.addresses)
 
 
@@ -283,7 +306,7 @@
         effect.key[1], effect.service, effect.path, effect.body, effect.deadline, effect.idempotent
     )
     future = daemon.runs.submit(daemon.hand_over_request, job)
-    future.add_done_callback(functools.partial(daemon.on_run_done, effect.key))
+    future.add_done_callback(functools.partial(daemon.on_run_done, effect.key, clock.now()))
 
 
 @carry_out.register
@@ -312,13 +335,13 @@
 
 @carry_out.register
 def _(effect: effects.Trace, daemon):
-    daemon.counts[effect.event] += 1
-    fields = dict(effect.fields)
-    if effect.flow:
-        fields["flow"] = effect.flow
-    if effect.request:
-        fields["request"] = effect.request
-    logs.event(effect.event.replace("_", "-"), level="DEBUG", **fields)
+    daemon.report.event(
+        effect.event,
+        level=reporting.DETAIL,
+        flow=effect.flow,
+        request=effect.request,
+        **dict(effect.fields),
+    )
 
 
 def make_limits(config: settings.SidecarSettings) -> state.Limits:
--- a/src/ebonystile/loop.py
+++ b/src/ebonystile/loop.py
@@ -22,6 +22,9 @@
 MAX_LAG_MS = 1000
 """Longest time that a datagram is taken to have waited, in ms: the socket's buffer is bounded."""
 
+FULL_RECENTLY_MS = 100
+"""A full batch longer ago than this was the last one: the socket fell silent, in ms."""
+
 BUFFER_BYTES = 8 << 20
 """Socket buffer asked for, in bytes; the kernel may give less."""
 
@@ -36,14 +39,18 @@
 
 
 class Loop:
-    """The loop of an owner thread; only `post` may be called from other threads."""
+    """The loop of an owner thread; only `post` may be called from other threads.
+
+    `now` is the time in ms at which the present step began, for what needs no fresher one.
+    """
 
     def __init__(self):
         self.selector = selectors.DefaultSelector()
         self.inbox: collections.deque[abc.Callable[[], None]] = collections.deque()
         self.timers: list[Timer] = []
-        self.behind_since: dict[socket.socket, int] = {}
+        self.receivers: dict[socket.socket, Receiver] = {}
         self.running = True
+        self.now = clock.now()
         self.waker, self.woken = socket.socketpair()
         self.waker.setblocking(False)
         self.woken.setblocking(False)
@@ -67,24 +74,17 @@
     ) -> socket.socket:
         """Return a UDP socket bound to `address` whose datagrams go to `on_datagram`."""
         udp = make_socket(address)
-        self.selector.register(
-            udp, selectors.EVENT_READ, lambda: self.on_datagrams(udp, on_datagram)
-        )
+        receiver = Receiver(udp, on_datagram)
+        self.receivers[udp] = receiver
+        self.selector.register(udp, selectors.EVENT_READ, receiver.drain)
         return udp
 
-    def on_datagrams(
-        self, udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]
-    ) -> None:
-        """Take a batch of datagrams, noting since when there have been more than a batch."""
-        if drain(udp, on_datagram):
-            self.behind_since.pop(udp, None)
-        else:
-            self.behind_since.setdefault(udp, clock.now())
-
     def lag(self, udp: socket.socket) -> int:
         """Return for how long the socket has not been emptied, in ms: 0 if the loop keeps up."""
-        since = self.behind_since.get(udp)
-        return 0 if since is None else min(MAX_LAG_MS, clock.now() - since)
+        receiver = self.receivers[udp]
+        if receiver.behind_since is None or clock.now() - receiver.full_at > FULL_RECENTLY_MS:
+            return 0
+        return min(MAX_LAG_MS, receiver.full_at - receiver.behind_since)
 
     def on_woken(self) -> None:
         """Empty the waking pipe."""
@@ -106,7 +106,9 @@
 
     def step(self) -> None:
         """Wait for the next thing to do and do it."""
-        for key, _ in self.selector.select(self.seconds_to_timer()):
+        ready = self.selector.select(self.seconds_to_timer())
+        self.now = clock.now()
+        for key, _ in ready:
             key.data()
         for _ in range(len(self.inbox)):
             self.inbox.popleft()()
@@ -145,21 +147,42 @@
     return udp
 
 
-def drain(udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]) -> bool:
-    """Take a batch of datagrams from a socket; return whether it is empty now.
+class Receiver:
+    """Take datagrams from one socket, as many at a time as seem to be waiting.
 
-    The kernel reports a past send's ICMP error on the next receive; it says nothing about this
-    socket, so it is passed over.
+    Asking an empty socket costs as much as taking a datagram, so `batch` doubles while it is used
+    up and falls back to what came. Since `behind_since` (ms) no batch has emptied the socket, the
+    last of the largest ones being that of `full_at`.
     """
-    for _ in range(BATCH):
-        try:
-            data, source = udp.recvfrom(RECEIVE_BYTES)
-        except BlockingIOError:
-            return True
-        except OSError:
-            continue
-        on_datagram(data, source)
-    return False
+
+    def __init__(self, udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]):
+        self.udp = udp
+        self.on_datagram = on_datagram
+        self.batch = 1
+        self.behind_since: int | None = None
+        self.full_at = 0
+
+    def drain(self) -> None:
+        """Take a batch of datagrams.
+
+        The kernel reports a past send's ICMP error on the next receive; it says nothing about
+        this socket, so it is passed over.
+        """
+        receive, on_datagram = self.udp.recvfrom, self.on_datagram
+        for taken in range(self.batch):
+            try:
+                data, source = receive(RECEIVE_BYTES)
+            except BlockingIOError:
+                self.batch = max(1, taken)
+                self.behind_since = None
+                return
+            except OSError:
+                continue
+            on_datagram(data, source)
+        if self.batch == BATCH:
+            self.full_at = clock.now()
+            self.behind_since = self.full_at if self.behind_since is None else self.behind_since
+        self.batch = min(BATCH, self.batch * 2)
 
 
 def send(udp: socket.socket, data: bytes, address: view.Address) -> bool:
@@ -178,7 +201,7 @@
     def handle(number: int, _frame: typing.Any) -> None:
         name = signal.Signals(number).name
         if noted:
-            loop.post(lambda: logs.event("signal-again", signal=name))
+            loop.post(lambda: logs.event("signal_again", signal=name))
             return
         noted.append(name)
         loop.post(lambda: leave(name))
