--- a/src/ebonystile/core/siblings.py
+++ b/src/ebonystile/core/siblings.py
@@ -76,6 +76,17 @@
         home.trace("suspected")
 
 
+def suspects(home: state.State, now: int) -> tuple[str, ...]:
+    """Return who is suspected: the own upstream, and siblings that have fallen silent."""
+    silent = [
+        name
+        for name, sibling in list(home.balance.table.siblings.items())
+        if now - sibling.received > home.balance.table.stale_after
+    ]
+    own = [home.name] if home.balance.suspicion.suspected(home.name) else []
+    return tuple(own + sorted(silent))
+
+
 def pick(
     home: state.State, forward: messages.Forward, message: caller_messages.Open, now: int
 ) -> view.Endpoint | None:
--- a/src/ebonystile/daemon/reporting.py
+++ b/src/ebonystile/daemon/reporting.py
@@ -129,6 +129,16 @@
     held.gauge("flows", "Flows known, those handed over included.", lambda: len(core.flows))
     held.gauge("running", "Requests that run.", lambda: len(core.slots.running))
     held.gauge("queued", "Requests that wait for a slot.", lambda: len(core.slots.queue))
+    held.gauge(
+        "concurrency",
+        "Requests that may run, less than the slots after the upstream shed.",
+        lambda: core.slots.concurrency,
+    )
+    held.gauge(
+        "suspected",
+        "1 while the upstream is suspected.",
+        lambda: core.balance.suspicion.suspected(core.name),
+    )
     held.gauge("ledger", "Requests remembered.", lambda: len(core.ledger.entries))
     held.gauge("leaving", "1 while the process takes no new work.", lambda: bool(core.leaving))
 
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -9,7 +9,7 @@
 import typing
 
 from ebonystile import clock, errors, logs, loop, settings
-from ebonystile.core import effects, events, sidecar, state, view
+from ebonystile.core import effects, events, siblings, sidecar, state, view
 from ebonystile.daemon import answers, reporting, server, tuning, watch
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
@@ -142,7 +142,8 @@
 
     def surroundings(self) -> answers.Surroundings:
         """Return what operators see of the shell."""
-        return answers.Surroundings(refusals=self.watcher.refusals())
+        suspects = siblings.suspects(self.core, clock.now())
+        return answers.Surroundings(suspected=suspects, refusals=self.watcher.refusals())
 
     def healthy(self) -> bool:
         """Whether the process has a configuration and takes new work, for `/healthz`."""
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -19,6 +19,7 @@
     caller_messages.TO_CALLER,
     operator_messages.OPERATOR,
     operator_messages.RECORDS,
+    peer_messages.LOADS,
 ]
 KINDS = [(family, message_type) for family in FAMILIES for message_type in family.names]
 
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -4,7 +4,7 @@
 
 import tests.wire as wires
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import call, events, fairness, view
+from ebonystile.core import call, events, fairness, siblings, view
 from ebonystile.peer import messages
 
 SECOND = 1000
@@ -150,6 +150,16 @@
     assert wire.all_runs[first] == 1
 
 
+def test_silent_sibling_is_shown_as_suspected():
+    wire = wires.make_service()
+    wire.run(2 * SECOND)
+    watcher, silent, _ = wire.homes.values()
+    assert siblings.suspects(watcher.core, wire.now) == ()
+    wire.kill(silent)
+    wire.run(5 * SECOND)
+    assert siblings.suspects(watcher.core, wire.now) == (silent.name,)
+
+
 def test_load_reports_are_few():
     """Three idle sidecars tell each other their load about once a second."""
     wire = wires.make_service()
