--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -6,7 +6,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import balancer, view
-from ebonystile.daemon import answers, reporting, server, tuning, watch
+from ebonystile.daemon import answers, control, reporting, server, tuning
 from ebonystile.peer import messages, seal
 
 QUIET_MS = 1_000
@@ -36,14 +36,24 @@
         self.report = reporting.make_reporter(
             identity, self.core, self.loop, self.counts, config.event_limit, self.surroundings
         )
+        self.behind = True
+        self.control = control.Control(
+            self.loop,
+            config,
+            "balancer",
+            self.incarnation,
+            self.on_view,
+            self.on_behind,
+            self.report.event,
+        )
         self.server = server.serve(
             config.address,
-            self.report.handlers(config.keys),
+            {**self.control.handlers(), **self.report.handlers(config.keys)},
             self.report.metrics.text,
             healthy=self.healthy,
             connection_limit=config.tcp_connection_limit,
         )
-        self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
+        self.control.start(self.seal, self.peers)
         self.loop.every(200, self.tick)
         loop.on_signals(self.loop, self.leave)
 
@@ -51,31 +61,40 @@
         """Run until the process has left."""
         self.report.event("process_started", listen=":".join(map(str, self.config.listen)))
         self.loop.run()
-        self.watcher.stop()
+        self.control.stop()
         self.server.stop()
         logs.event("process_stopped", **self.counts)
 
     def healthy(self) -> bool:
         """Whether the balancer has a configuration and is not leaving, for `/healthz`."""
-        return self.core.view.revision > 0 and not self.leave_by
+        return self.core.view.revision > 0 and not self.behind and not self.leave_by
+
+    def on_behind(self) -> None:
+        """Route nothing by an old view after a pause; callers retry through other balancers."""
+        self.behind = True
 
     def surroundings(self) -> answers.Surroundings:
         """Return what operators see of the shell."""
         return answers.Surroundings(
-            queued=len(self.loop.inbox), leaving=self.leaving, refusals=self.watcher.refusals()
+            queued=len(self.loop.inbox),
+            leaving=self.leaving,
+            suspected=self.control.suspected(),
+            refusals=self.control.refusals(),
         )
 
     def on_view(self, newer: view.View) -> None:
         """Route by a newer view from now on."""
+        self.behind = False
         before = self.core.view.revision
-        if balancer.change_view(self.core, newer):
-            self.seal.revision = newer.revision
-            if newer.revision != before:
-                self.report.event("configured", revision=newer.revision)
+        if balancer.change_view(self.core, newer) and newer.revision != before:
+            self.report.event("configured", revision=newer.revision)
 
     def on_caller(self, payload: bytes, caller: view.Address) -> None:
         """Route a caller's datagram."""
         self.heard_at = self.loop.now
+        if self.behind:
+            self.counts["dropped_behind"] += 1
+            return
         action = balancer.route(self.core, caller, payload, self.loop.now)
         if type(action) is balancer.Relay:
             content = messages.pack_forward(action.forward)
@@ -90,7 +109,10 @@
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Relay a sidecar's answer to its caller."""
         try:
-            message = messages.unpack(self.seal.open(data).content)
+            opened = self.seal.open(data)
+            if self.control.on_opened(opened, source):
+                return
+            message = messages.unpack(opened.content)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
             logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
@@ -105,6 +127,7 @@
         self.leaving = reason
         self.heard_at = clock.now()
         self.leave_by = self.heard_at + self.config.drain_ms
+        self.control.leave()
 
     def tick(self) -> None:
         """Note how far the loop is behind, and end a leaving balancer whose work is done."""
