--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -78,12 +78,12 @@
 def fail_runs(wire, home):
     """Make an upstream fail every request at once."""
 
-    def start(at, effect, ordinary=wire.start):
+    def start(at, core, effect, ordinary=wire.start):
         if at is not home:
-            ordinary(at, effect)
+            ordinary(at, core, effect)
             return
         failed = events.Failed(effect.key, "connection reset", True)
-        wire.at(1, lambda: wire.post_to(at, at.core, failed))
+        wire.at(1, lambda: wire.post_to(at, core, failed))
 
     wire.start = start
 
