Tell the operators' view of a running system as a feature; stop at once with silent connections

The scenarios replace the same checks as plain tests. A stop ended silent connections only after their handshake's 3 s; now it ends them at once.

--- a/src/ebonystile/daemon/server.py
+++ b/src/ebonystile/daemon/server.py
@@ -104,6 +104,10 @@
 
     def stop(self) -> None:
         """Close every connection and wait for the threads; may be called twice."""
+        with self.lock:
+            silent = list(self.silent)
+        for connection in silent:
+            end(connection)
         self.server.shutdown()
         self.thread.join()
 
@@ -141,8 +145,7 @@
                 return False
             del self.silent[longest]
         self.count("silent_ended")
-        with contextlib.suppress(OSError):
-            longest.shutdown(socket.SHUT_RDWR)
+        end(longest)
         return self.free.acquire(timeout=ROOM_S)
 
     def heard(self, connection: socket.socket) -> None:
@@ -206,6 +209,12 @@
         return answer
 
 
+def end(connection: socket.socket) -> None:
+    """Shut a connection down; the thread that reads from it notices and closes it."""
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+
+
 def make_listener(address: view.Address) -> Listener:
     """Return a listening socket on `address`; raise `PeerError` where that can't be had."""
     listener = Listener(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/test_operator_system.py
+++ b/tests/test_operator_system.py
@@ -5,27 +5,33 @@
 
 import click.testing
 import pytest
+import pytest_bdd
+from pytest_bdd import given, then, when
 
 from ebonystile import clock
 from ebonystile.caller import client
 from ebonystile.commands import operator
-from standins import system
+from standins import processes, system
+
+pytest_bdd.scenarios("features/operators.feature")
 
 ZONE = "umea"
+SERVICE = "line-status"
 WAIT_MS = 20_000
 REQUEST_MS = 4_000
 SHORT_DRAIN = {"drain_ms": 5_000, "max_deadline_ms": 5_000}
+PROCESSES = {"line-0", "line-1", "entry-0", "entry-1"}
+IN_ORDER = ["opened", "entered", "started", "answered", "fenced", "adopted", "handed_over"]
 
 
 @pytest.fixture(scope="module")
 def running(module_children, tmp_path_factory):
-    """Run a line-status service of two upstreams behind two balancers, with one flow."""
     made = system.System(module_children)
-    made.publish_services({"line-status": {"app": "line-status"}})
+    made.publish_services({SERVICE: {"app": SERVICE}})
     for number in range(2):
         name = f"line-{number}"
-        upstream = module_children.start_upstream(name, "line-status")
-        made.label(name, {"app": "line-status"})
+        upstream = module_children.start_upstream(name, SERVICE)
+        made.label(name, {"app": SERVICE})
         made.start_sidecar(name, ZONE, upstream, **SHORT_DRAIN)
     for number in range(2):
         made.start_balancer(f"entry-{number}", ZONE)
@@ -34,9 +40,7 @@
     path.write_text(json.dumps(settings))
     made.operator_settings = path
     made.caller = client.make_caller(made.addresses)
-    made.flow = made.caller.open("line-status", clock.now() + WAIT_MS)
     yield made
-    made.flow.close()
     made.caller.close()
 
 
@@ -62,78 +66,115 @@
     return {p["process"]: p for p in json.loads(run(running, "status", "--json"))}
 
 
-def explained(running):
-    flow = running.flow.core.flow.hex()
-    return json.loads(run(running, "explain", "line-status", flow, "--json"))
+def explained(running, flow):
+    return json.loads(run(running, "explain", SERVICE, flow.core.flow.hex(), "--json"))
 
 
-def test_status_shows_every_process_at_one_revision(running):
-    found = wait_for(lambda: equal_revisions(status_of(running)))
-    assert set(found) == {"line-0", "line-1", "entry-0", "entry-1"}
-    assert sum(p["flows"] for p in found.values()) == 1
-    assert all(p["zone"] == ZONE and p["leaving"] == "" for p in found.values())
-    assert found["line-0"]["services"] == ["line-status"]
+def holders_of(running, flow):
+    return {h["process"]: h for h in explained(running, flow)["holders"]}
 
 
-def equal_revisions(found):
-    return found if len({p["revision"] for p in found.values()}) == 1 else None
+@given("a line-status service of two upstreams behind two balancers")
+def _(running):
+    for number in range(2):
+        running.label(f"line-{number}", {"app": SERVICE})
+    wait_for(lambda: not any(p["leaving"] for p in status_of(running).values()))
 
 
-def test_a_leaving_upstream_hands_its_flow_over_and_the_operator_sees_it(running):
-    """The home of a flow gets the label `leaving`; a report has been filed on the flow before.
+@given("a caller with an open flow", target_fixture="flow")
+def open_flow(running, request):
+    flow = running.caller.open(SERVICE, clock.now() + WAIT_MS)
+    request.addfinalizer(flow.close)
+    return flow
 
-    The flow moves to the other upstream. `explain` names the new home, and the time line shows
-    fenced, adopted and handed over in this order although two processes tell of them.
-    """
-    report = running.flow.request("reports", b"crack", clock.now() + REQUEST_MS, idempotent=False)
-    assert report.status == 200
-    [home] = [h["process"] for h in explained(running)["holders"]]
-    running.label(home, {"app": "line-status", "leaving": "true"})
-    holders = wait_for(lambda: moved_from(home, explained(running)["holders"]))
-    assert holders[home]["target"] != home and holders[holders[home]["target"]]["holds"] == "home"
-    assert status_of(running)[home]["leaving"]
-    flow = running.flow.core.flow.hex()
-    lines = run(running, "timeline", "--flow", flow[:12], "--json").splitlines()
-    records = [json.loads(line) for line in lines]
-    assert {r["flow"] for r in records} == {flow}
-    names = [r["event"] for r in records]
-    expected = ["opened", "entered", "started", "answered", "fenced", "adopted", "handed_over"]
-    assert [name for name in names if name in expected] == expected
-    requests = {r["request"] for r in records if r["event"] == "answered"}
-    shown = run(running, "timeline", "--request", requests.pop(), "--upstream", home)
-    assert "answered" in shown and "adopted" not in shown
 
+@given("a defect report filed on the flow")
+def _(flow):
+    answer = flow.request("reports", b"crack", clock.now() + REQUEST_MS, idempotent=False)
+    assert answer.status == 200
 
-def moved_from(home, holders):
-    by_name = {h["process"]: h for h in holders}
-    return by_name if by_name.get(home, {}).get("holds") == "moved" else None
 
+@when("the home of the flow is labelled as leaving", target_fixture="home")
+def leave_home(running, flow):
+    [home] = holders_of(running, flow)
+    running.label(home, {"app": SERVICE, "leaving": "true"})
+    return home
 
-def test_metrics_tell_what_was_done(running):
-    for sidecar_port in sidecar_ports(running):
-        text = system.HTTP.request("GET", f"http://127.0.0.1:{sidecar_port}/metrics").data.decode()
-        assert "ebonystile_loop_lag_seconds_count" in text
-        assert 'ebonystile_events_total{event="process_started"}' in text
-        assert "# TYPE ebonystile_run_seconds summary" in text
+
+@when("a document is published whose service has neither address nor selector")
+def _(running):
+    processes.publish_value(running.platform, "services/00", {"services": {"x": {}}})
+
+
+@then("status shows every process at one revision")
+def _(running):
+    def settled():
+        found = status_of(running)
+        return found if len({p["revision"] for p in found.values()}) == 1 else None
+
+    found = wait_for(settled)
+    assert set(found) == PROCESSES
+    assert all(p["zone"] == ZONE and p["reachable"] for p in found.values())
+    assert found["line-0"]["services"] == [SERVICE]
+
+
+@then("one process holds the flow")
+def _(running, flow):
+    assert [h["holds"] for h in holders_of(running, flow).values()] == ["home"]
+    wait_for(lambda: sum(p["flows"] for p in status_of(running).values()) == 1)
 
 
-def sidecar_ports(running):
-    found = status_of(running).values()
-    return [p["address"].rpartition(":")[2] for p in found if p["role"] == "sidecar"]
+@then("explain names the other upstream as the new home")
+def _(running, flow, home):
+    def moved():
+        holders = holders_of(running, flow)
+        return holders if holders[home]["holds"] == "moved" else None
 
+    holders = wait_for(moved)
+    target = holders[home]["target"]
+    assert target != home and holders[target]["holds"] == "home"
 
-def test_a_refused_document_is_shown_with_its_faults(running):
-    """A wrong document is published: the old one stays in force, and status says what is wrong."""
-    before = status_of(running)["entry-0"]["revision"]
-    system.processes.publish_value(running.platform, "services/00", {"services": {"x": {}}})
-    found = wait_for(lambda: refusing(status_of(running)))
-    assert any("services/00" in fault for fault in found["refusals"])
-    assert found["revision"] >= before
-    assert explained(running)["ranking"]
 
+@then("status shows the old home as leaving")
+def _(running, home):
+    assert status_of(running)[home]["leaving"]
+
+
+@then("the time line of the flow is in the order of cause and effect")
+def _(running, flow, home):
+    whole = flow.core.flow.hex()
+    lines = run(running, "timeline", "--flow", whole[:12], "--json").splitlines()
+    records = [json.loads(line) for line in lines]
+    assert {r["flow"] for r in records} == {whole}
+    assert [r["event"] for r in records if r["event"] in IN_ORDER] == IN_ORDER
+    [request] = {r["request"] for r in records if r["event"] == "answered"}
+    shown = run(running, "timeline", "--request", request, "--upstream", home)
+    assert "answered" in shown and "adopted" not in shown
+
+
+@then("status shows each fault of it")
+def _(running):
+    def refusing():
+        found = status_of(running)["entry-0"]
+        return found["refusals"]
 
-def refusing(found):
-    return found["entry-0"] if found["entry-0"]["refusals"] else None
+    faults = wait_for(refusing)
+    assert all("services/00" in fault for fault in faults)
+    assert any("address" in f for f in faults) and any("selector" in f for f in faults)
+
+
+@then("the older document stays in force")
+def _(running, flow):
+    assert explained(running, flow)["ranking"]
+
+
+def test_metrics_tell_what_was_done(running):
+    for process in status_of(running).values():
+        url = f"http://{process['address']}/metrics"
+        text = system.HTTP.request("GET", url).data.decode()
+        assert "ebonystile_loop_lag_seconds_count" in text
+        assert 'ebonystile_events_total{event="process_started"}' in text
+        assert ("# TYPE ebonystile_run_seconds summary" in text) == (process["role"] == "sidecar")
 
 
 def test_a_taken_address_ends_the_second_process_with_status_1(running):
