--- a/src/ebonystile/peer/messages.py
+++ b/src/ebonystile/peer/messages.py
@@ -10,7 +10,7 @@
 import struct
 import typing
 
-from ebonystile import errors
+from ebonystile import codec, errors
 
 Address = tuple[str, int]
 
@@ -56,6 +56,52 @@
     payload: bytes
 
 
+FULL_RAMP = 1000
+"""The ramp of a warm upstream, in thousandths of its weight."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Tell the sidecars of one service what the sender observes of its upstream.
+
+    `pending` counts flows opened a moment ago that have not sent a request yet: without it a burst
+    of opens is invisible until it is too late. `caution` is work that only the upstream itself
+    claims to have. `connections` is the most flows it may hold, `latency` the recent time of a
+    request in ms, `ramp` the share of its weight that it may get now, in thousandths. `at` (ms) is
+    compared only with that of other reports of the same incarnation.
+    """
+
+    KIND: typing.ClassVar[int] = 3
+    name: str
+    incarnation: int
+    zone: str
+    at: int
+    slots: int
+    connections: int
+    flows: int = 0
+    running: int = 0
+    queued: int = 0
+    pending: int = 0
+    caution: int = 0
+    latency: int = 0
+    ramp: int = FULL_RAMP
+    leaving: bool = False
+    suspected: bool = False
+
+    @property
+    def work(self) -> int:
+        """Requests that the upstream has or is about to have."""
+        return self.running + self.queued + self.pending + self.caution
+
+    @property
+    def weight(self) -> float:
+        """The share of work that the upstream may get, in slots."""
+        return max(self.slots * self.ramp / FULL_RAMP, 0.1)
+
+
+LOADS = codec.Codec("load report", (LoadReport,))
+
+
 @functools.lru_cache(CACHED_ADDRESSES)
 def pack_address(address: Address) -> bytes:
     """Return the six bytes that stand for an address."""
@@ -85,7 +131,12 @@
     return RETURN.pack(Return.KIND, pack_address(message.caller)) + message.payload
 
 
-def unpack(content: bytes) -> Forward | Return:
+def pack_load(message: LoadReport) -> bytes:
+    """Return a `LoadReport` as the content of a sealed datagram."""
+    return bytes((LoadReport.KIND,)) + LOADS.encode(message)
+
+
+def unpack(content: bytes) -> Forward | Return | LoadReport:
     """Return the message that the content is; raise `DatagramError` if it is none."""
     kind = content[0] if content else 0
     if kind == Return.KIND and len(content) >= RETURN.size:
@@ -97,4 +148,6 @@
         if len(content) >= end:
             visited = struct.unpack_from(f"!{count}Q", content, FORWARD.size)
             return Forward(unpack_address(caller), unpack_address(via), visited, content[end:])
+    if kind == LoadReport.KIND:
+        return LOADS.decode(content[1:])
     raise errors.DatagramError("not of the packet path", step="decode", peer="peer")
