Keep a flood of forged tokens out of the time line; tell every event on the operators' page

unknown_flow can be caused by anybody with made-up tokens, as dropped can: a flood of either filled the ring. Ten a second of each are kept now, all are counted. The new test failed for unknown_flow before.

--- a/src/ebonystile/daemon/reporting.py
+++ b/src/ebonystile/daemon/reporting.py
@@ -18,9 +18,15 @@
 TRANSFER_STEPS = {"fenced": 0, "adopted": 1, "handed_over": 2}
 """The events of one handover in the order of cause and effect, over two processes."""
 
-UNKEPT = frozenset({"dropped"})
-"""Events that anybody can cause by sending rubbish: counted and logged, but a flood of them would
-push everything else out of the time line."""
+FLOODABLE = frozenset({"dropped", "unknown_flow"})
+FLOOD_LIMIT = 10
+"""Events that anybody can cause by sending rubbish, and how many of each are kept in a second.
+
+All are counted; but a flood of them would push everything else out of the time line, at the very
+moment when operators want to know what else happened.
+"""
+
+SECOND_MS = 1_000
 
 DETAIL = "DEBUG"
 """Level of what happens to single flows and requests; the time line has it at any level."""
@@ -53,6 +59,8 @@
         self.metrics.tally("events", "Events by their names.", counts, "event")
         self.lag = self.metrics.latency("loop_lag_seconds", "Lag of the thread that decides.")
         self.lag_due = clock.now() + LAG_MS
+        self.flood_until = 0
+        self.flood: collections.Counter[str] = collections.Counter()
         add_gauges(core, self.metrics)
         owner.every(LAG_MS, self.measure_lag)
 
@@ -69,7 +77,7 @@
         self.counts[name] += 1
         ids = {key: value for key, value in (("flow", flow), ("request", request)) if value}
         logs.event(name, level=level, **ids, **fields)
-        if name in UNKEPT:
+        if name in FLOODABLE and self.flooded(name):
             return
         link = fields.pop(TRANSFER_FIELD, b"")
         self.ring.add(
@@ -83,6 +91,15 @@
             fields=tuple((key, logs.text_of(value)) for key, value in fields.items()),
         )
 
+    def flooded(self, name: str) -> bool:
+        """Count a floodable event; tell whether this second has had enough of them."""
+        now = clock.now()
+        if now >= self.flood_until:
+            self.flood_until = now + SECOND_MS
+            self.flood.clear()
+        self.flood[name] += 1
+        return self.flood[name] > FLOOD_LIMIT
+
     def handlers(self, keys: abc.Iterable[typing.Any]) -> dict[str, operator.Handler]:
         """Return what the TCP server needs to answer operators."""
         handler = operator.make_handler(keys, self.identity.incarnation, self.ask)
--- a/src/ebonystile/metrics.py
+++ b/src/ebonystile/metrics.py
@@ -66,7 +66,7 @@
 
 
 def make_histogram() -> histogram.HdrHistogram:
-    """Return an empty histogram of milliseconds (about 20 kB)."""
+    """Return an empty histogram of milliseconds (about 18 kB)."""
     return histogram.HdrHistogram(1, LONGEST_MS, SIGNIFICANT_DIGITS)
 
 
--- /dev/null
+++ b/tests/test_reporting.py
@@ -0,0 +1,80 @@
+"""Check what the reporter of a process keeps, counts and answers."""
+
+import collections
+import random
+import re
+
+import pytest
+
+from ebonystile import loop, timeline
+from ebonystile.core import balancer, sidecar, state
+from ebonystile.daemon import answers, reporting
+from ebonystile.operator import messages
+from standins import processes
+
+EVENT = re.compile(r"\b(?:home\.trace|report\.event)\(\s*\"(\w+)\"")
+
+
+def make(role=answers.SIDECAR):
+    randomness = random.Random(1)
+    if role == answers.SIDECAR:
+        core = sidecar.make_sidecar("u1", 7, state.Limits(), randomness, 0)
+    else:
+        core = balancer.make_balancer(("127.0.0.1", 1), randomness)
+    identity = answers.Identity("u1", role, "a", 7, 0)
+    counts = collections.Counter()
+    return reporting.make_reporter(identity, core, loop.Loop(), counts, 1_000)
+
+
+def kept(report):
+    return report.ring.select(timeline.Filter(), 1_000)
+
+
+def test_an_event_is_counted_kept_and_linked():
+    report = make()
+    report.event("fenced", flow=b"f", target="u2", transfer=b"t")
+    report.event("adopted", flow=b"f", service="s", transfer=b"t")
+    fenced, adopted = kept(report)
+    assert (fenced.upstream, fenced.fields) == ("u1", (("target", "u2"),))
+    assert (fenced.link, adopted.link) == (b"t", b"t")
+    assert fenced.step < adopted.step
+    assert report.counts == {"fenced": 1, "adopted": 1}
+
+
+@pytest.mark.parametrize("name", sorted(reporting.FLOODABLE))
+def test_a_flood_of_rubbish_leaves_the_time_line_to_the_rest(name):
+    """Somebody sends rubbish as fast as they can; what happened before must stay visible."""
+    report = make()
+    report.event("answered", flow=b"f")
+    for _ in range(5_000):
+        report.event(name, level="DEBUG")
+    assert report.counts[name] == 5_000
+    assert kept(report)[0].event == "answered"
+    assert len(kept(report)) < 1_000
+
+
+@pytest.mark.parametrize("role", [answers.SIDECAR, answers.BALANCER])
+def test_the_owner_thread_answers_and_metrics_tell(role):
+    report = make(role)
+    future = report.ask(messages.StatusRequest(bytes(16)))
+    assert not future.done()
+    report.owner.step()
+    assert future.result(0).process == "u1"
+    assert b"ebonystile_revision 0.0" in report.metrics.text()
+    assert (b"ebonystile_ledger" in report.metrics.text()) == (role == answers.SIDECAR)
+
+
+def test_a_bug_in_an_answer_reaches_the_asker_and_not_the_owner():
+    report = make()
+    report.surroundings = None
+    future = report.ask(messages.StatusRequest(bytes(16)))
+    report.owner.step()
+    assert isinstance(future.exception(0), TypeError)
+
+
+def test_every_event_stands_on_the_operators_page():
+    page = (processes.ROOT / "docs" / "OPERATORS.md").read_text()
+    sources = (processes.ROOT / "src").rglob("*.py")
+    found = [name for path in sources for name in EVENT.findall(path.read_text())]
+    assert len(set(found)) > 20
+    assert not [name for name in sorted(set(found)) if f"`{name}`" not in page]
