--- a/standins/demo.py
+++ b/standins/demo.py
@@ -180,6 +180,7 @@
         del fields["faults"]
         return {
             **fields,
+            "late_work": self.fleet.late_work,
             "stop_faults": len(self.fleet.faults),
             "imbalance_max_over_mean": max(evening.values(), default=None),
             "imbalance_by_service": evening,
@@ -200,18 +201,18 @@
     signal.signal(signal.SIGTERM, interrupt)
     parser = argparse.ArgumentParser(prog="demo", description=__doc__)
     parser.add_argument("--small", action="store_true", help="one service with two upstreams")
-    parser.add_argument("--keep", type=pathlib.Path, help="folder for settings and logs, kept")
+    parser.add_argument("--logs", type=pathlib.Path, help="folder that keeps a log of each process")
     options = parser.parse_args(arguments)
     with contextlib.ExitStack() as stack:
-        folder = options.keep
+        folder = options.logs
         if folder is None:
             folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
         folder.mkdir(parents=True, exist_ok=True)
         children = stack.enter_context(processes.Children())
         figures = Demo(children, folder, options.small).run()
     print(json.dumps(figures), flush=True)
-    broken = [name for name in verdict.PROMISES if figures[name]]
-    return 1 if broken or figures["stop_faults"] else 0
+    broken = [name for name in (*verdict.PROMISES, "late_work", "stop_faults") if figures[name]]
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -12,8 +12,9 @@
 
 from standins import processes, system, web
 
-LEAVE_SECONDS = 1.5
-"""Time from the label `leaving` to SIGTERM, for the label to reach every process."""
+LEAVE_SECONDS = 2.5
+"""Time from the label `leaving` to SIGTERM. By then an upstream must get no new work: what it
+starts later is counted as late work."""
 
 FABRIC_SECONDS = 0.3
 """Time from a balancer's removal from the fabric to its SIGTERM."""
@@ -53,6 +54,11 @@
     sidecar: system.Sidecar
 
 
+def runs_of(counts: dict[str, typing.Any]) -> int:
+    """Return how many runs an upstream has counted."""
+    return sum(counts["runs"].values())
+
+
 class Fleet:
     """All processes of the system and around it, callers apart."""
 
@@ -63,6 +69,7 @@
         self.members: dict[str, Member] = {}
         self.counts: list[dict[str, typing.Any]] = []
         self.faults: list[str] = []
+        self.late_work = 0
 
     def publish_services(self, services: typing.Iterable[Service]) -> None:
         """Publish the services, each with a selector of its own."""
@@ -88,9 +95,11 @@
         labels = self.system.labels[sidecar.name]
         self.system.label(sidecar.name, {**labels, "leaving": "true"})
         time.sleep(LEAVE_SECONDS)
+        started = runs_of(sidecar.upstream.get("standin/runs"))
         self.system.enlist(sidecar.name, "upstream", sidecar.port, sidecar.zone, "leaving")
         self.stop(sidecar.child)
-        self.collect(sidecar)
+        counts = self.collect(sidecar)
+        self.late_work += runs_of(counts) - started
         self.system.enlist(sidecar.name, "upstream", sidecar.port, sidecar.zone, "gone")
         self.system.label(sidecar.name, None)
         del self.members[sidecar.name]
@@ -112,14 +121,14 @@
         if status != 0:
             self.faults.append(f"{child.name} ended with status {status}")
 
-    def collect(self, sidecar: system.Sidecar) -> None:
-        """Stop an upstream and keep what it counted."""
+    def collect(self, sidecar: system.Sidecar) -> dict[str, typing.Any]:
+        """Stop an upstream, keep what it counted and return it."""
         status = sidecar.upstream.stop(STOP_SECONDS)
         line = sidecar.upstream.lines[-1] if sidecar.upstream.lines else ""
         if status != 0 or not line.startswith("counts "):
-            self.faults.append(f"upstream {sidecar.name} ended with {status}: {line[:200]}")
-            return
+            raise RuntimeError(f"upstream {sidecar.name} ended with {status}: {line[:200]}")
         self.counts.append(json.loads(line.removeprefix("counts ")))
+        return self.counts[-1]
 
     def stop_all(self) -> None:
         """Stop what is left, sidecars before their upstreams, and collect the counts."""
--- a/standins/verdict.py
+++ b/standins/verdict.py
@@ -4,7 +4,14 @@
 import dataclasses
 import typing
 
-PROMISES = ("broken_flows", "lost", "doubled", "wrong_service", "untrue_refusals", "wrong_answers")
+PROMISES = (
+    "broken_flows",
+    "lost",
+    "doubled",
+    "wrong_service",
+    "untrue_refusals",
+    "wrong_answers",
+)
 """What must be zero for the promises to hold."""
 
 Document = dict[str, typing.Any]
@@ -25,6 +32,8 @@
     requests: int = 0
     flows: int = 0
     feed_events: int = 0
+    feed_delay_ms_max: int = 0
+    latency_ms: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
     faults: list[str] = dataclasses.field(default_factory=list)
 
     @property
@@ -40,6 +49,7 @@
     for count in counts:
         runs.update(count["runs"])
         verdict.wrong_service += count["wrong_service"]
+    verdict.latency_ms = latencies(records)
     for record in records:
         for errand in record["errands"]:
             judge_errand(verdict, record["service"], errand, runs)
@@ -78,11 +88,30 @@
     """Judge one flow: it is broken if it lost its home, its feed or the word on a request."""
     verdict.flows += 1
     verdict.feed_events += session["feed_events"]
+    verdict.feed_delay_ms_max = max(verdict.feed_delay_ms_max, session["latest_ms"])
     if session["reopened"] or session["faults"]:
         verdict.broken_flows += 1
         verdict.faults.append(f"{service} flow: {session}")
 
 
+def latencies(records: list[Document]) -> dict[str, dict[str, int]]:
+    """Return for each kind of request the time to its answer in ms, retries included."""
+    taken = collections.defaultdict(list)
+    for record in records:
+        for errand in record["errands"]:
+            taken[errand["kind"]].append(errand["took_ms"])
+    found = {}
+    for kind, times in sorted(taken.items()):
+        times.sort()
+        last = len(times) - 1
+        found[kind] = {
+            "p50": times[last // 2],
+            "p99": times[round(last * 0.99)],
+            "max": times[last],
+        }
+    return found
+
+
 def imbalance(samples: dict[str, dict[str, int]]) -> dict[str, float]:
     """Return for each service the busiest upstream's share of work over the mean."""
     found = {}
--- a/standins/workload.py
+++ b/standins/workload.py
@@ -50,15 +50,17 @@
 
     kind: str
     idempotent: bool
+    took_ms: int = 0
     tries: list[Tried] = dataclasses.field(default_factory=list)
     faults: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
 class Session:
-    """One flow and what went wrong on it."""
+    """One flow and what went wrong on it; `latest_ms` is the delay of its latest feed event."""
 
     feed_events: int = 0
+    latest_ms: int = 0
     reopened: int = 0
     faults: list[str] = dataclasses.field(default_factory=list)
 
@@ -158,6 +160,7 @@
             quiet_since = clock.now()
             position += 1
             session.feed_events += 1
+            session.latest_ms = max(session.latest_ms, quiet_since - service_feed.due(position))
             body = answers.event_body(self.service, path, position)
             if (event.position, event.body) != (position, body):
                 session.faults.append(f"event {event.position} in place of {position}")
@@ -175,7 +178,7 @@
     ) -> None:
         """Send a request until there is an answer; send it anew only when it was not run."""
         errand = Errand(kind, idempotent)
-        give_up = clock.now() + GIVE_UP_MS
+        began = clock.now()
         while True:
             result = self.send(flow, errand, path, body)
             if result is None or result.outcome is call.Outcome.UNKNOWN:
@@ -184,9 +187,10 @@
             if result.outcome is call.Outcome.ANSWERED:
                 self.check(errand, result, path, body)
                 break
-            if clock.now() > give_up:
+            if clock.now() > began + GIVE_UP_MS:
                 break
             threading.Event().wait(clock.seconds_until(result.retry_at) + 0.01)
+        errand.took_ms = clock.now() - began
         with self.lock:
             self.record.errands.append(errand)
 
--- a/tests/standins/test_demo.py
+++ b/tests/standins/test_demo.py
@@ -13,7 +13,7 @@
 def test_small_demo_keeps_every_promise_and_ends_what_it_started(tmp_path):
     environment = {**os.environ, "PYTHONPATH": f"{processes.ROOT / 'src'}:{processes.ROOT}"}
     demo = subprocess.Popen(
-        [sys.executable, "-m", "standins.demo", "--small", "--keep", tmp_path],
+        [sys.executable, "-m", "standins.demo", "--small", "--logs", tmp_path],
         cwd=processes.ROOT,
         env=environment,
         stdout=subprocess.PIPE,
@@ -27,6 +27,7 @@
         demo.terminate()
     figures = json.loads(stdout.splitlines()[-1])
     assert {name: figures[name] for name in verdict.PROMISES} == dict.fromkeys(verdict.PROMISES, 0)
+    assert figures["late_work"] == 0
     assert demo.returncode == 0, stderr
     assert (figures["upstreams_replaced"], figures["balancers_replaced"]) == (2, 3)
     assert figures["requests"] > 100
--- a/tests/standins/test_verdict.py
+++ b/tests/standins/test_verdict.py
@@ -7,7 +7,13 @@
 
 def make_errand(*tries, idempotent=False, faults=()):
     listed = [{"request": r, "outcome": o, "reason": ""} for r, o in tries]
-    return {"kind": "report", "idempotent": idempotent, "tries": listed, "faults": list(faults)}
+    return {
+        "kind": "report",
+        "idempotent": idempotent,
+        "took_ms": 7,
+        "tries": listed,
+        "faults": list(faults),
+    }
 
 
 def judge(errands=(), sessions=(), runs=None, wrong_service=0):
@@ -52,8 +58,9 @@
     ("reopened", "faults", "broken"), [(0, [], 0), (1, [], 1), (0, ["feed silent"], 1)]
 )
 def test_sessions(reopened, faults, broken):
-    session = {"feed_events": 3, "reopened": reopened, "faults": faults}
+    session = {"feed_events": 3, "latest_ms": 40, "reopened": reopened, "faults": faults}
     judged = judge(sessions=[session])
+    assert judged.feed_delay_ms_max == 40
     assert (judged.flows, judged.feed_events, judged.broken_flows) == (1, 3, broken)
 
 
@@ -64,3 +71,9 @@
 def test_imbalance_is_the_busiest_over_the_mean():
     samples = {"photo": {"a": 30, "b": 10, "c": 20}, "idle": {"a": 0}}
     assert verdict.imbalance(samples) == {"photo": 1.5}
+
+
+def test_latencies_are_told_by_kind():
+    assert judge([ANSWERED] * 3, runs={"a": 1}).latency_ms == {
+        "report": {"p50": 7, "p99": 7, "max": 7}
+    }
