--- a/src/ebonystile/core/opening.py
+++ b/src/ebonystile/core/opening.py
@@ -1,7 +1,7 @@
 """Give a flow a home here, or pass the open on to a sibling."""
 
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import flows, state, view
+from ebonystile.core import flows, siblings, state, view
 from ebonystile.peer import messages
 
 RETRY_OPEN = 250
@@ -25,9 +25,14 @@
         flow.via = forward.via
         if flow.moved_to is not None:
             home.forward_to(flow.moved_to, forward)
-        elif flow.handover is None:
+        elif not flow.fenced:
             tell_opened(home, flow, message.attempt)
         return
+    chosen = siblings.pick(home, forward, message, now) if flow is None else None
+    if chosen is not None:
+        home.trace("passed", message.flow, target=chosen.name)
+        home.forward_to(chosen, forward)
+        return
     if flow is None and home.serving(message.service) and len(home.flows) < home.limits.flows:
         tell_opened(home, take(home, forward, message, now), message.attempt)
         return
@@ -50,13 +55,17 @@
         forward.caller,
         forward.via,
         now + home.limits.flow_lease,
-        {incarnation},
+        (incarnation,),
     )
     home.flows[flow.id] = flow
+    home.balance.fresh.open(flow.id, now)
     home.trace("opened", flow.id, service=flow.service)
     return flow
 
 
 def tell_opened(home: state.State, flow: flows.Flow, attempt: int) -> None:
     """Tell the caller its token. The answer is no larger than the open that asked."""
-    home.tell(flow, caller_messages.Opened(flow.id, flow.token, attempt, flow.lease_until))
+    opened = caller_messages.Opened(
+        flow.id, flow.token, attempt, flow.lease_until, flow.answers_for
+    )
+    home.tell(flow, opened)
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -9,8 +9,8 @@
 import typing
 
 from ebonystile import clock, errors, logs, loop, settings
-from ebonystile.core import effects, events, sidecar, state, view
-from ebonystile.daemon import answers, control, reporting, server
+from ebonystile.core import effects, events, siblings, sidecar, state, view
+from ebonystile.daemon import answers, control, reporting, server, tuning
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -39,6 +39,7 @@
             make_limits(config),
             random.Random(secrets.randbits(64)),
             now,
+            tuning.make_policy(config.spreading),
         )
         self.seal = seal.make_seal(config.keys, self.incarnation)
         self.bulk_seal = seal.make_seal(config.keys, self.incarnation)
@@ -53,6 +54,7 @@
         self.leave_by = 0
         self.drained_at = 0
         self.asking_health = False
+        self.asking_load = False
         self.loop = loop.Loop()
         self.peers = self.loop.listen(config.address, self.on_peer)
         identity = answers.Identity(
@@ -87,6 +89,7 @@
         self.control_plane.start(self.seal, self.peers)
         self.loop.every(events.TICK_MS, self.tick)
         self.loop.every(config.health_poll_ms, self.ask_health)
+        self.loop.every(config.load_poll_ms, self.ask_load)
         loop.on_signals(self.loop, self.leave)
 
     def run(self) -> None:
@@ -124,6 +127,8 @@
             return
         if type(message) is messages.Forward:
             self.take(events.Arrived(message))
+        elif type(message) is messages.LoadReport:
+            self.take(events.LoadHeard(message))
 
     def on_view(self, newer: view.View) -> None:
         """Act by a newer view, or learn that the present one is still in force."""
@@ -156,8 +161,9 @@
 
     def surroundings(self) -> answers.Surroundings:
         """Return what operators see of the shell."""
+        suspected = {*siblings.suspects(self.core, clock.now()), *self.control_plane.suspected()}
         return answers.Surroundings(
-            suspected=self.control_plane.suspected(), refusals=self.control_plane.refusals()
+            suspected=tuple(sorted(suspected)), refusals=self.control_plane.refusals()
         )
 
     def healthy(self) -> bool:
@@ -185,19 +191,38 @@
         self.take(events.Leave(reason))
 
     def ask_health(self) -> None:
-        """Read whether the upstream drains by itself; its silence changes nothing."""
+        """Read whether the upstream is well, cold, or drains by itself."""
         if not self.asking_health:
             self.asking_health = True
             self.control.submit(self.upstream.health).add_done_callback(self.on_health)
 
     def on_health(self, future: concurrent.futures.Future) -> None:
-        """Leave when the upstream says that it drains."""
+        """Tell the core the upstream's health; leave when it says that it drains."""
         self.asking_health = False
         if future.cancelled() or future.exception() is not None:
             self.counts["health_failed"] += 1
-        elif future.result().draining and not self.core.leaving:
+            self.post(events.UpstreamHealth(False))
+            return
+        health = future.result()
+        self.post(events.UpstreamHealth(health.ok, health.cold))
+        if health.draining and not self.core.leaving:
             self.post(events.Leave("the upstream drains"))
 
+    def ask_load(self) -> None:
+        """Read what load the upstream claims to have; its silence changes nothing."""
+        if not self.asking_load:
+            self.asking_load = True
+            self.control.submit(self.upstream.load).add_done_callback(self.on_load)
+
+    def on_load(self, future: concurrent.futures.Future) -> None:
+        """Give the core the upstream's claim."""
+        self.asking_load = False
+        if future.cancelled() or future.exception() is not None:
+            self.counts["load_failed"] += 1
+        else:
+            claim = future.result()
+            self.post(events.UpstreamLoad(claim.running + claim.queued))
+
     # What is to be done
 
     def hand_over_request(self, job: client.Job) -> client.Reply:
@@ -290,6 +315,14 @@
     loop.send(daemon.peers, daemon.seal.seal_content(content), effect.address)
 
 
+@carry_out.register
+def _(effect: effects.SendLoad, daemon):
+    content = messages.pack_load(effect.report)
+    for address in effect.addresses:
+        loop.send(daemon.peers, daemon.seal.seal_content(content), address)
+    daemon.counts["load_reports"] += len(effect.addresses)
+
+
 @carry_out.register
 def _(effect: effects.RunRequest, daemon):
     job = client.Job(
--- a/src/ebonystile/loop.py
+++ b/src/ebonystile/loop.py
@@ -19,6 +19,12 @@
 BATCH = 64
 """Datagrams taken from one socket before the next one and the inbox get their turn."""
 
+MAX_LAG_MS = 1000
+"""Longest time that a datagram is taken to have waited, in ms: the socket's buffer is bounded."""
+
+FULL_RECENTLY_MS = 100
+"""A full batch longer ago than this was the last one: the socket fell silent, in ms."""
+
 BUFFER_BYTES = 8 << 20
 """Socket buffer asked for, in bytes; the kernel may give less."""
 
@@ -42,6 +48,7 @@
         self.selector = selectors.DefaultSelector()
         self.inbox: collections.deque[abc.Callable[[], None]] = collections.deque()
         self.timers: list[Timer] = []
+        self.receivers: dict[socket.socket, Receiver] = {}
         self.running = True
         self.now = clock.now()
         self.waker, self.woken = socket.socketpair()
@@ -68,9 +75,17 @@
         """Return a UDP socket bound to `address` whose datagrams go to `on_datagram`."""
         udp = make_socket(address)
         receiver = Receiver(udp, on_datagram)
+        self.receivers[udp] = receiver
         self.selector.register(udp, selectors.EVENT_READ, receiver.drain)
         return udp
 
+    def lag(self, udp: socket.socket) -> int:
+        """Return for how long the socket has not been emptied, in ms: 0 if the loop keeps up."""
+        receiver = self.receivers[udp]
+        if receiver.behind_since is None or clock.now() - receiver.full_at > FULL_RECENTLY_MS:
+            return 0
+        return min(MAX_LAG_MS, receiver.full_at - receiver.behind_since)
+
     def on_woken(self) -> None:
         """Empty the waking pipe."""
         try:
@@ -136,13 +151,16 @@
     """Take datagrams from one socket, as many at a time as seem to be waiting.
 
     Asking an empty socket costs as much as taking a datagram, so `batch` doubles while it is used
-    up and falls back to what came.
+    up and falls back to what came. Since `behind_since` (ms) no batch has emptied the socket, the
+    last of the largest ones being that of `full_at`.
     """
 
     def __init__(self, udp: socket.socket, on_datagram: abc.Callable[[bytes, view.Address], None]):
         self.udp = udp
         self.on_datagram = on_datagram
         self.batch = 1
+        self.behind_since: int | None = None
+        self.full_at = 0
 
     def drain(self) -> None:
         """Take a batch of datagrams.
@@ -156,10 +174,14 @@
                 data, source = receive(RECEIVE_BYTES)
             except BlockingIOError:
                 self.batch = max(1, taken)
+                self.behind_since = None
                 return
             except OSError:
                 continue
             on_datagram(data, source)
+        if self.batch == BATCH:
+            self.full_at = clock.now()
+            self.behind_since = self.full_at if self.behind_since is None else self.behind_since
         self.batch = min(BATCH, self.batch * 2)
 
 
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,143 @@
+"""Run both users' services on loopback and replace their processes as a night does.
+
+Everything that changes is changed as operators do it: by labels and by the platform's list. A
+replacement starts the new process, lets the old one leave, and only then sends it SIGTERM.
+"""
+
+import dataclasses
+import json
+import pathlib
+import time
+import typing
+
+from standins import processes, system, web
+
+LEAVE_SECONDS = 2.5
+"""Time from the label `leaving` to SIGTERM. By then an upstream must get no new work: what it
+starts later is counted as late work."""
+
+FABRIC_SECONDS = 0.3
+"""Time from a balancer's removal from the fabric to its SIGTERM."""
+
+STOP_SECONDS = 40.0
+
+FEED_INTERVAL_MS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service of one of the users."""
+
+    name: str
+    upstreams: int
+    slots: int
+    zones: tuple[str, ...]
+    service_ms: int
+
+
+NORRLAND = ("lulea-a", "lulea-b", "umea")
+PORT_LOUIS = ("ebene-a", "ebene-b", "caudan", "pailles")
+
+SERVICES = (
+    Service("line-status", 7, 2, NORRLAND, 15),
+    Service("photo", 3, 2, NORRLAND, 60),
+    Service("ledger", 7, 3, PORT_LOUIS, 15),
+    Service("evidence", 4, 3, PORT_LOUIS, 40),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An upstream with the sidecar beside it, and the service that it is for."""
+
+    service: Service
+    sidecar: system.Sidecar
+
+
+def runs_of(counts: dict[str, typing.Any]) -> int:
+    """Return how many runs an upstream has counted."""
+    return sum(counts["runs"].values())
+
+
+class Fleet:
+    """All processes of the system and around it, callers apart."""
+
+    def __init__(self, children: processes.Children, logs: pathlib.Path):
+        self.children = children
+        self.feed_start = web.now_ms()
+        self.system = system.System(children, logs=logs)
+        self.members: dict[str, Member] = {}
+        self.counts: list[dict[str, typing.Any]] = []
+        self.faults: list[str] = []
+        self.late_work = 0
+
+    def publish_services(self, services: typing.Iterable[Service]) -> None:
+        """Publish the services, each with a selector of its own."""
+        self.system.publish_services({s.name: {"app": s.name} for s in services})
+
+    def add_upstream(self, service: Service, name: str, zone: str) -> None:
+        """Start an upstream and its sidecar, and publish them."""
+        upstream = self.children.start_upstream(
+            name,
+            service.name,
+            *("--slots", service.slots, "--queue", 64, "--connections", 2000),
+            *("--service-ms", service.service_ms, "--spread", 0.4, "--seed", len(self.members)),
+            *("--cold-ms", 500, "--cold-factor", 3),
+            *("--feed-start", self.feed_start, "--feed-interval", FEED_INTERVAL_MS),
+        )
+        sidecar = self.system.start_sidecar(name, zone, upstream, slots=service.slots)
+        self.system.label(name, {"app": service.name, "zone": zone})
+        self.members[name] = Member(service, sidecar)
+
+    def remove_upstream(self, member: Member) -> None:
+        """Let an upstream leave: label, SIGTERM to the sidecar, then to the upstream."""
+        sidecar = member.sidecar
+        labels = self.system.labels[sidecar.name]
+        self.system.label(sidecar.name, {**labels, "leaving": "true"})
+        time.sleep(LEAVE_SECONDS)
+        started = runs_of(sidecar.upstream.get("standin/runs"))
+        self.system.enlist(sidecar.name, "upstream", sidecar.port, sidecar.zone, "leaving")
+        self.stop(sidecar.child)
+        counts = self.collect(sidecar)
+        self.late_work += runs_of(counts) - started
+        self.system.enlist(sidecar.name, "upstream", sidecar.port, sidecar.zone, "gone")
+        self.system.label(sidecar.name, None)
+        del self.members[sidecar.name]
+
+    def remove_balancer(
+        self, balancer: system.Balancer, tell_fabric: typing.Callable[[], None]
+    ) -> None:
+        """Let a balancer leave; the fabric is told before, so that no packet is lost there."""
+        del self.system.balancers[balancer.name]
+        self.system.enlist(balancer.name, "balancer", balancer.port, balancer.zone, "leaving")
+        tell_fabric()
+        time.sleep(FABRIC_SECONDS)
+        self.stop(balancer.child)
+        self.system.enlist(balancer.name, "balancer", balancer.port, balancer.zone, "gone")
+
+    def stop(self, child: processes.Child) -> None:
+        """Stop a process of the system; an exit status other than 0 is a fault."""
+        status = child.stop(STOP_SECONDS)
+        if status != 0:
+            self.faults.append(f"{child.name} ended with status {status}")
+
+    def collect(self, sidecar: system.Sidecar) -> dict[str, typing.Any]:
+        """Stop an upstream, keep what it counted and return it."""
+        status = sidecar.upstream.stop(STOP_SECONDS)
+        line = sidecar.upstream.lines[-1] if sidecar.upstream.lines else ""
+        if status != 0 or not line.startswith("counts "):
+            raise RuntimeError(f"upstream {sidecar.name} ended with {status}: {line[:200]}")
+        self.counts.append(json.loads(line.removeprefix("counts ")))
+        return self.counts[-1]
+
+    def stop_all(self) -> None:
+        """Stop what is left, sidecars before their upstreams, and collect the counts."""
+        sidecars = [member.sidecar for member in self.members.values()]
+        balancers = list(self.system.balancers.values())
+        for process in (*sidecars, *balancers):
+            process.child.popen.terminate()
+        for sidecar in sidecars:
+            self.stop(sidecar.child)
+            self.collect(sidecar)
+        for balancer in balancers:
+            self.stop(balancer.child)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,6 +1,8 @@
 """Start modules as child processes, wait for their `ready` line, and end them by id."""
 
 import collections
+import contextlib
+import json
 import os
 import pathlib
 import queue
@@ -21,18 +23,28 @@
 
 
 class Child:
-    """A child process; its standard output is read line by line into `lines`."""
+    """A child process whose standard output is read line by line into `lines`.
 
-    def __init__(self, name: str, command: list[str]):
+    With `log`, what it writes on standard error goes into the file of this name.
+    """
+
+    def __init__(self, name: str, command: list[str], log: pathlib.Path | None = None):
         self.name = name
         self.lines: collections.deque[str] = collections.deque(maxlen=KEPT_LINES)
         self.ready: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self.fields: dict[str, str] = {}
         paths = [str(ROOT / "src"), str(ROOT)]
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(paths), "PYTHONUNBUFFERED": "1"}
-        self.popen = subprocess.Popen(
-            command, cwd=ROOT, env=environment, stdout=subprocess.PIPE, text=True
-        )
+        with contextlib.ExitStack() as stack:
+            self.popen = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                stderr=stack.enter_context(log.open("w")) if log else None,
+                text=True,
+            )
         self.reader = threading.Thread(target=self.read, daemon=True)
         self.reader.start()
 
@@ -44,6 +56,15 @@
                 self.ready.put(line)
         self.ready.put(None)
 
+    def tell(self, document: typing.Any) -> None:
+        """Write a JSON document as one line to the child's standard input."""
+        try:
+            self.popen.stdin.write(json.dumps(document) + "\n")
+            self.popen.stdin.flush()
+        except OSError:
+            # It has ended; whoever waits for it learns so.
+            pass
+
     def wait_ready(self, seconds: float = READY_SECONDS) -> None:
         """Wait for the ready line and take its key=value fields."""
         try:
@@ -98,6 +119,7 @@
         except subprocess.TimeoutExpired:
             self.kill()
         self.reader.join(5)
+        self.popen.stdin.close()
         return self.popen.returncode
 
     def kill(self) -> None:
@@ -124,10 +146,11 @@
         for child in running:
             child.wait(max(0.1, give_up - time.monotonic()))
 
-    def launch(self, name: str, module: str, *arguments: object) -> Child:
+    def launch(
+        self, name: str, module: str, *arguments: object, log: pathlib.Path | None = None
+    ) -> Child:
         """Start `python -m module` without waiting; call `wait_ready` on what it returns."""
-        command = [sys.executable, "-m", module, *map(str, arguments)]
-        child = Child(name, command)
+        child = Child(name, [sys.executable, "-m", module, *map(str, arguments)], log)
         self.children.append(child)
         return child
 
