--- a/src/ebonystile/core/probing.py
+++ b/src/ebonystile/core/probing.py
@@ -145,6 +145,7 @@
     sender = control.unpack_statement(beat.sender)
     items = [control.unpack_statement(item) for item in beat.news]
     own_before = spread.membership.own
+    superseded_before = spread.membership.superseded
     changed = [item.name for item in items if spread.membership.learn(item, now)]
     if sender.name != own_before.name and spread.membership.hear(sender, now):
         changed.append(sender.name)
@@ -152,6 +153,8 @@
     if spread.membership.own is not own_before:
         spread.trace("suspicion_refuted", generation=spread.membership.own.generation)
         spread.send(address, spread.beat())
+    if spread.membership.superseded and not superseded_before:
+        spread.trace("superseded", member=own_before.name)
     settle(spread, beat, sender, items)
     spread.heard_at = now
     spread.note_fresh(beat.fresh_as_of, now)
--- a/src/ebonystile/daemon/control.py
+++ b/src/ebonystile/daemon/control.py
@@ -38,7 +38,12 @@
 SERVE_S = 2
 """Longest time that a peer's pull waits for the owner thread, in seconds."""
 
-LEVELS = {"document_refused": "ERROR", "catch_up_waiting": "WARNING", "platform_older": "WARNING"}
+LEVELS = {
+    "document_refused": "ERROR",
+    "superseded": "ERROR",
+    "catch_up_waiting": "WARNING",
+    "platform_older": "WARNING",
+}
 """Levels of the events that operators should look at; the others are INFO."""
 
 PLATFORM_THREADS = 3
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -243,6 +243,7 @@
     new = f.add("b5", ZONES[2], seeds=["b0", "b1"])
     f.run(60 * SECOND)
     assert old.core.membership.superseded
+    assert len(traced(old, "superseded")) == 1
     assert not new.core.membership.superseded
     assert f.names["b0"].core.membership.address_of("b5") == new.core.membership.own.address
 
