--- a/src/ebonystile/core/spread_state.py
+++ b/src/ebonystile/core/spread_state.py
@@ -58,7 +58,7 @@
     call_margin: int = 3_000
     backoff_least: int = 500
     backoff_most: int = 15_000
-    stale: int = 8_000
+    stale: int = 6_500
     promotion: int = 60_000
     watchers: int = 2
     watchers_most: int = 8
