End a process whose owner thread meets a bug; let events have a field called name

Cause: the control core reported a dead peer in a field `name`; Reporter.event took it twice and raised. The owner thread ended, the threads around it kept the process alive, and every flow of that sidecar fell silent: the small demo waited 43 s for its callers' last requests, or for ever. Ruled out: the handover (no flow was lost in the logs), the policy (its counts were as before). Change: the event's name is positional only; an unexpected exception in the owner thread is logged and ends the process with status 1, so that it is replaced and its callers go on.

--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -6,7 +6,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import balancer, view
-from ebonystile.daemon import answers, control, reporting, server, tuning
+from ebonystile.daemon import answers, control, guard, reporting, server, tuning
 from ebonystile.peer import messages, seal
 
 QUIET_MS = 1_000
@@ -60,7 +60,7 @@
     def run(self) -> None:
         """Run until the process has left."""
         self.report.event("process_started", listen=":".join(map(str, self.config.listen)))
-        self.loop.run()
+        guard.run(self.loop)
         self.control.stop()
         self.server.stop()
         logs.event("process_stopped", **self.counts)
--- /dev/null
+++ b/src/ebonystile/daemon/guard.py
@@ -0,0 +1,21 @@
+"""End a process at once when its owner thread meets a bug."""
+
+import os
+
+from ebonystile import logs, loop
+
+FAILURE = 1
+
+
+def run(owner: loop.Loop) -> None:
+    """Run the loop; at an exception that nobody expected, log it and end the process.
+
+    Only the owner thread decides anything. If it ended alone, the threads around it would keep a
+    process alive that still answers TCP and holds its port, but neither serves nor hands over any
+    flow: callers would wait in silence. A process that is gone is replaced, and its callers go on.
+    """
+    try:
+        owner.run()
+    except Exception as error:
+        logs.failure("bug", error)
+        os._exit(FAILURE)
--- a/src/ebonystile/daemon/reporting.py
+++ b/src/ebonystile/daemon/reporting.py
@@ -67,6 +67,7 @@
     def event(
         self,
         name: str,
+        /,
         *,
         level: str = "INFO",
         flow: bytes = b"",
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import effects, events, siblings, sidecar, state, view
-from ebonystile.daemon import answers, control, reporting, server, tuning
+from ebonystile.daemon import answers, control, guard, reporting, server, tuning
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -95,7 +95,7 @@
     def run(self) -> None:
         """Run until the process has left."""
         self.report.event("process_started", address=":".join(map(str, self.config.address)))
-        self.loop.run()
+        guard.run(self.loop)
         self.control_plane.stop()
         self.server.stop()
         for pool in (self.runs, self.polls, self.bulk, self.control):
--- a/tests/test_reporting.py
+++ b/tests/test_reporting.py
@@ -64,6 +64,13 @@
     assert (b"ebonystile_ledger" in report.metrics.text()) == (role == answers.SIDECAR)
 
 
+def test_an_event_may_have_a_field_called_name():
+    """A core reports who died, in a field `name`; the owner thread must not stumble over it."""
+    report = make()
+    report.event("peer_dead", name="ledger-2")
+    assert kept(report)
+
+
 def test_a_bug_in_an_answer_reaches_the_asker_and_not_the_owner():
     report = make()
     report.surroundings = None
