--- a/benches/policy.py
+++ b/benches/policy.py
@@ -136,6 +136,45 @@
     return tally.reports / len(tally.samples[0][1]) / lasted
 
 
+# What each part of the chosen policy is worth
+
+
+def ablation_setups() -> dict[str, policy_model.Setup]:
+    """Return the chosen setup, and it with one part changed or taken out."""
+    chosen = policy_model.Setup(placement.PowerOfTwo())
+    return {
+        "chosen": chosen,
+        "one_pass": dataclasses.replace(chosen, passes=1),
+        "no_fade": dataclasses.replace(chosen, policy=placement.PowerOfTwo(fade=0.0)),
+        "no_gap": dataclasses.replace(chosen, policy=placement.PowerOfTwo(gap=0.0)),
+        "eight_candidates": dataclasses.replace(chosen, policy=placement.PowerOfTwo(8)),
+        "own_sends_not_counted": dataclasses.replace(chosen, count_sent=False),
+        "reports_each_second_only": dataclasses.replace(chosen, report_step=1 << 30),
+    }
+
+
+def ablation_cases(sites: abc.Iterable[Site]) -> abc.Iterator[Case]:
+    """Yield a run of every variant, one request a flow."""
+    for site in sites:
+        for name, setup in ablation_setups().items():
+            yield Case(f"ablation.{site.name}.{name}", alone(site), setup, 0.9)
+
+
+def ablation_measures(tallies: dict[str, policy_model.Tally]) -> abc.Iterator[report.Measure]:
+    """Yield the imbalance of each variant, against the chosen setup."""
+    for name, tally in tallies.items():
+        base = tallies[f"{name.rsplit('.', 1)[0]}.chosen"]
+        for share, label in ((0.5, "p50"), (0.99, "p99")):
+            yield report.measure(
+                f"{name}.work_{label}",
+                quantile(tally.work, share),
+                "max/mean",
+                baseline=quantile(base.work, share),
+            )
+        yield report.measure(f"{name}.passed", tally.passed / tally.opens, "of opens")
+        yield report.measure(f"{name}.reports", reports_a_second(tally), "1/s and sidecar")
+
+
 # Goodput and refusals below and beyond capacity
 
 
@@ -323,6 +362,9 @@
     report.progress("imbalance at 0.9 of the capacity")
     tallies = run_all(list(imbalance_cases(sites)), jobs)
     measures += imbalance_measures(tallies)
+    report.progress("parts of the chosen policy")
+    parts = [s for s in sites if s.service < 1000]
+    measures += ablation_measures(run_all(list(ablation_cases(parts)), jobs))
     report.progress("goodput from 0.5 to 2 times the capacity")
     users = [s for s in sites if s.upstreams < 100]
     measures += overload_measures(run_all(list(overload_cases(users)), jobs), users)
--- a/src/ebonystile/core/balance.py
+++ b/src/ebonystile/core/balance.py
@@ -12,10 +12,12 @@
 
     Reports go out each `report_every`, and after a change of work by `report_step` no sooner than
     `report_least` after the last, to `report_fanout` siblings; one older than `stale_after` does
-    not count. A fresh upstream gets its whole weight after `ramp`.
+    not count. An open is passed on at most `passes` times. A fresh upstream gets its whole weight
+    after `ramp`.
     """
 
     placing: placement.Policy = placement.PowerOfTwo()
+    passes: int = 3
     order: limits.Order = limits.Order.FIFO
     adaptive: bool = True
     return_horizon: int = 10_000
--- a/src/ebonystile/core/siblings.py
+++ b/src/ebonystile/core/siblings.py
@@ -92,12 +92,13 @@
 ) -> view.Endpoint | None:
     """Return the sibling that should take an open, or None to keep it or to walk the ranking.
 
-    An open is passed by load once only: two sidecars that each believe the other idle would hand
-    it to and fro, and its caller would wait.
+    Two sidecars that each believe the other idle would hand an open to and fro, and its caller
+    would wait. So it never comes back to one that has passed it on, and is passed a few times at
+    most; the second and third pass mend what an old report got wrong.
     """
-    if forward.visited or message.service not in home.serves:
+    if len(forward.visited) >= home.balance.policy.passes or message.service not in home.serves:
         return None
-    choices = home.siblings(message.service)
+    choices = [u for u in home.siblings(message.service) if u.key not in forward.visited]
     name = placement.choose(
         home.balance.policy.placing,
         message.flow,
--- a/src/ebonystile/daemon/tuning.py
+++ b/src/ebonystile/daemon/tuning.py
@@ -8,6 +8,7 @@
     """Return a sidecar's policy."""
     return balance.Policy(
         placing=make_placement(config),
+        passes=config.passes,
         order=limits.Order(config.queue_order),
         adaptive=config.when_shed == "shrink",
         return_horizon=config.return_horizon_ms,
--- a/src/ebonystile/settings.py
+++ b/src/ebonystile/settings.py
@@ -178,6 +178,7 @@
         0.3, "Requests a slot by which a sibling must have less for an open to go there.", most=100
     )
     flow_gap: float = share(0.1, "Share of flows by which it must hold fewer, with work alike.")
+    passes: int = count(3, "How often an open is passed on at most.", least=0, most=8)
     report_fade: float = share(
         0.5,
         "Time in which a report fades towards the mean, in recent request times; 0 never fades.",
