--- a/src/ebonystile/core/limits.py
+++ b/src/ebonystile/core/limits.py
@@ -274,7 +274,3 @@
         held = len(kept) < len(self.queue)
         self.queue = kept
         return held
-
-    def next_deadline(self) -> int | None:
-        """Return when the first queued request is to be given up, for the owner's timer."""
-        return min((w.deadline for w in self.queue), default=None)
--- a/src/ebonystile/core/placement.py
+++ b/src/ebonystile/core/placement.py
@@ -10,12 +10,9 @@
 import math
 import typing
 
-from ebonystile.core import load, ranking, rng, view
+from ebonystile.core import load, ranking, rng, suspicion, view
 from ebonystile.peer import messages
 
-PANIC = 0.5
-"""If more than this share of the known siblings is suspected, suspicion is ignored."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeepHome:
@@ -116,17 +113,11 @@
 
 
 def _usable(known: list[load.Standing]) -> list[load.Standing]:
-    """Return the siblings that may take a flow, the suspected ones only in a panic.
-
-    When most are suspected the fault is likelier in the network or in a shared dependency; to send
-    everything to the few that are left would bring those down too.
-    """
+    """Return the siblings that may take a flow, the suspected ones only in a panic."""
     roomy = [s for s in known if s.room]
     trusted = [s for s in roomy if not s.suspected]
     suspected = sum(1 for s in known if s.suspected)
-    if suspected > PANIC * len(known):
-        return roomy
-    return trusted
+    return roomy if suspicion.is_panic(suspected, len(known)) else trusted
 
 
 def _some(scene: Scene, count: int, chance: rng.Rng) -> list[load.Standing]:
--- a/src/ebonystile/core/suspicion.py
+++ b/src/ebonystile/core/suspicion.py
@@ -18,14 +18,26 @@
 """Most peers on which a record is kept; a record exists only for those that failed of late."""
 
 
+PANIC = 0.5
+"""If more than this share of those to choose from is suspected, suspicion is ignored."""
+
+
+def is_panic(suspected: int, known: int) -> bool:
+    """Tell whether so many are suspected that all are to be used as if none were.
+
+    If most are suspected, either the cause is not with them or nobody else is left to do the work:
+    leaving them out would bring the others down and turn a brown-out into an outage.
+    """
+    return suspected > PANIC * known
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
     """When to suspect and when to forgive.
 
     `failures` in a row, or a share of `share` among the last `window` results, make a suspicion.
     It lasts `hold` ms at first, doubled by each further one up to `longest`, and a time of `calm`
-    ms without one halves it again. Suspicion is ignored (`panic`) when it names more than that
-    share of those to choose from.
+    ms without one halves it again.
     """
 
     failures: int = 3
@@ -37,7 +49,6 @@
     probes: int = 2
     probe_timeout: int = 1000
     returns: int = 2
-    panic: float = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,17 +128,6 @@
         peer = self.peers.get(name)
         return peer is not None and peer.suspected_until is not None
 
-    def usable(self, names: typing.Sequence[str]) -> list[str]:
-        """Return those not suspected, or all of them in a panic.
-
-        If most are suspected, either the cause is not with them or nobody else is left to do the
-        work: leaving them out would turn a brown-out into an outage.
-        """
-        trusted = [n for n in names if not self.suspected(n)]
-        if len(names) - len(trusted) > self.rules.panic * len(names):
-            return list(names)
-        return trusted
-
     def due_probes(self, now: int) -> list[str]:
         """Return whom to probe now; the owner reports each by `probed`.
 
