--- a/src/ebonystile/core/spread.py
+++ b/src/ebonystile/core/spread.py
@@ -66,9 +66,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fetched:
-    """A pull over a websocket was answered."""
+    """A pull over a websocket was answered; the update is unpacked already."""
 
     reply: control.UpdateReply | control.Busy
+    update: configuration.Update | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,7 +184,7 @@
         names = spread.configuration.apply_instances(event.delta)
         changes = configuration.Changes(instances=tuple(names))
     if changes or spread.configuration.digest != before:
-        spread.note_changes(changes)
+        spread.note_changes(changes, now)
     watching.on_read(spread, event.stream, event.delta, event.more, now)
     if not event.more:
         catching_up.on_platform(spread, event.stream, answered=not older)
@@ -197,7 +198,10 @@
 
 @on_event.register
 def _(event: Fetched, spread, now):
-    on_message(event.reply, spread, None, now)
+    if event.update is None:
+        pulling.on_busy(spread, event.reply, now)
+    else:
+        pulling.on_reply(spread, event.reply, event.update, now)
 
 
 @on_event.register
@@ -225,12 +229,12 @@
 
 @on_message.register
 def _(message: control.Pull, spread, address, now):
-    spread.send(address, pulling.serve(spread, message, now, control.DATAGRAM_BYTES))
+    spread.send(address, pulling.serve(spread, message, now))
 
 
 @on_message.register
 def _(message: control.UpdateReply, spread, address, now):
-    pulling.on_reply(spread, message, now)
+    pulling.on_reply(spread, message, control.unpack_update(message.update), now)
 
 
 @on_message.register
@@ -240,7 +244,7 @@
 
 @on_message.register
 def _(message: control.Busy, spread, address, now):
-    pulling.on_failed(spread, message.nonce, now, message.retry_at)
+    pulling.on_busy(spread, message, now)
 
 
 @on_message.register
