--- a/standins/demo.py
+++ b/standins/demo.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-from standins import fleet, processes, verdict
+from standins import fleet, processes, verdict, workload
 
 BALANCERS = 3
 BALANCER_SECONDS = 5.0
@@ -56,6 +56,7 @@
         """Run everything and return the figures."""
         self.start_system()
         self.start_users()
+        time.sleep(workload.ARRIVAL_SECONDS)
         evening = self.measure(STEADY_SECONDS)
         self.replace_all()
         self.say("letting callers go on for a while after the night")
--- a/standins/workload.py
+++ b/standins/workload.py
@@ -34,6 +34,9 @@
 
 BULK_BYTES = 300_000
 
+ARRIVAL_SECONDS = 5.0
+"""Users open their flows over this time: at one instant, nobody could know any load yet."""
+
 
 @dataclasses.dataclass(slots=True)
 class Tried:
@@ -97,10 +100,15 @@
     def begin(self, user: typing.Callable[[random.Random], None], number: int) -> None:
         """Start one user with randomness of its own."""
         source = random.Random(f"{self.service} {user.__name__} {number}")
-        thread = threading.Thread(target=user, args=(source,), daemon=True)
+        thread = threading.Thread(target=self.arrive, args=(user, source), daemon=True)
         self.threads.append(thread)
         thread.start()
 
+    def arrive(self, user: typing.Callable[[random.Random], None], source: random.Random) -> None:
+        """Be one user, from a random moment on."""
+        if not self.stopping.wait(source.uniform(0, ARRIVAL_SECONDS)):
+            user(source)
+
     def crew(self, source: random.Random) -> None:
         """Keep one flow all the time: follow a feed, and now and then send a report."""
         flow, session = self.open()
