--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import effects, events, siblings, sidecar, state, view
-from ebonystile.daemon import answers, reporting, server, tuning, watch
+from ebonystile.daemon import answers, control, reporting, server, tuning
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -66,14 +66,27 @@
         self.run_time = self.report.metrics.latency(
             "run_seconds", "Time from handing a request to the upstream to its answer."
         )
+        self.control_plane = control.Control(
+            self.loop,
+            config,
+            "upstream",
+            self.incarnation,
+            self.on_view,
+            self.on_behind,
+            self.report.event,
+        )
         self.server = server.serve(
             config.address,
-            {TRANSFER_PATH: self.on_transfer, **self.report.handlers(config.keys)},
+            {
+                TRANSFER_PATH: self.on_transfer,
+                **self.control_plane.handlers(),
+                **self.report.handlers(config.keys),
+            },
             self.report.metrics.text,
             healthy=self.healthy,
             connection_limit=config.tcp_connection_limit,
         )
-        self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
+        self.control_plane.start(self.seal, self.peers)
         self.loop.every(events.TICK_MS, self.tick)
         self.loop.every(config.health_poll_ms, self.ask_health)
         self.loop.every(config.load_poll_ms, self.ask_load)
@@ -83,7 +96,7 @@
         """Run until the process has left."""
         self.report.event("process_started", address=":".join(map(str, self.config.address)))
         self.loop.run()
-        self.watcher.stop()
+        self.control_plane.stop()
         self.server.stop()
         for pool in (self.runs, self.polls, self.bulk, self.control):
             pool.shutdown(wait=False, cancel_futures=True)
@@ -104,7 +117,10 @@
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Take a datagram from a balancer or another sidecar."""
         try:
-            message = messages.unpack(self.seal.open(data).content)
+            opened = self.seal.open(data)
+            if self.control_plane.on_opened(opened, source):
+                return
+            message = messages.unpack(opened.content)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
             logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
@@ -116,9 +132,12 @@
 
     def on_view(self, newer: view.View) -> None:
         """Act by a newer view, or learn that the present one is still in force."""
-        self.seal.revision = max(self.seal.revision, newer.revision)
         self.take(events.ViewChanged(newer))
 
+    def on_behind(self) -> None:
+        """Log that the view may be old; the core noticed the pause itself and holds new work."""
+        self.report.event("behind")
+
     def on_transfer(self, question: bytes) -> bytes:
         """Answer a sidecar that hands a flow over; runs in a thread of the server."""
         body = self.bulk_seal.open(question, replayable=True).body
@@ -142,8 +161,10 @@
 
     def surroundings(self) -> answers.Surroundings:
         """Return what operators see of the shell."""
-        suspects = siblings.suspects(self.core, clock.now())
-        return answers.Surroundings(suspected=suspects, refusals=self.watcher.refusals())
+        suspected = {*siblings.suspects(self.core, clock.now()), *self.control_plane.suspected()}
+        return answers.Surroundings(
+            suspected=tuple(sorted(suspected)), refusals=self.control_plane.refusals()
+        )
 
     def healthy(self) -> bool:
         """Whether the process has a configuration and takes new work, for `/healthz`."""
@@ -166,6 +187,7 @@
         """Finish what runs, hand over what stays, then end."""
         self.report.event("stop_asked", reason=reason)
         self.leave_by = clock.now() + self.config.drain_ms
+        self.control_plane.leave()
         self.take(events.Leave(reason))
 
     def ask_health(self) -> None:
