Hand flows to the lightest sibling, so that a night of replacements leaves them even

Cause: a flow went to the next sibling of its ranking whatever that held. Change: of the siblings whose load is known, that have room and are not suspected, the one with the fewest flows for its weight; own sends count until the next report.

--- a/src/ebonystile/core/handover.py
+++ b/src/ebonystile/core/handover.py
@@ -5,7 +5,18 @@
 """
 
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import effects, events, flows, ledger, opening, ranking, requests, state, view
+from ebonystile.core import (
+    effects,
+    events,
+    flows,
+    ledger,
+    opening,
+    ranking,
+    requests,
+    siblings,
+    state,
+    view,
+)
 from ebonystile.peer import transfer
 
 TRANSFER_ID_BYTES = 16
@@ -41,7 +52,7 @@
     if sum(len(entry.body) for entry in records) > home.limits.transfer_bytes:
         # Too large to be carried; callers fetch their answers here first.
         return
-    target = next_target(home, flow, frozenset())
+    target = next_target(home, flow, frozenset(), now)
     if target is None:
         return
     for entry in records:
@@ -59,11 +70,16 @@
 
 
 def next_target(
-    home: state.State, flow: flows.Flow, refused: frozenset[int] | set[int]
+    home: state.State, flow: flows.Flow, refused: frozenset[int] | set[int], now: int
 ) -> view.Endpoint | None:
-    """Return the sibling that comes first in the flow's ranking and has not refused."""
-    choices = (u for u in home.siblings(flow.service) if u.key not in refused)
-    return ranking.first(flow.id, choices)
+    """Return the lightest sibling that has not refused, else the first in the flow's ranking.
+
+    In a night of replacements the ranking alone would give each newcomer only its share of the
+    flows that leave after it, so the first ones would end the night crowded and the last one idle.
+    """
+    choices = [u for u in home.siblings(flow.service) if u.key not in refused]
+    lightest = siblings.lightest(home, choices, now)
+    return lightest or ranking.first(flow.id, choices)
 
 
 def send(home: state.State, flow: flows.Flow, now: int) -> None:
@@ -195,10 +211,10 @@
     """Go to the next sibling after one that has refused for good, under a new transfer id."""
     handover = flow.handover
     handover.refused_by.add(handover.target.key)
-    target = next_target(home, flow, handover.refused_by)
+    target = next_target(home, flow, handover.refused_by, now)
     if target is None:
         handover.refused_by.clear()
-        target = next_target(home, flow, frozenset())
+        target = next_target(home, flow, frozenset(), now)
     if target is None:
         target = handover.target
     flow.handover = flows.Handover(
--- a/src/ebonystile/core/siblings.py
+++ b/src/ebonystile/core/siblings.py
@@ -111,3 +111,25 @@
         return None
     home.balance.table.sent(name, now)
     return next(u for u in choices if u.name == name)
+
+
+def lightest(home: state.State, choices: list[view.Endpoint], now: int) -> view.Endpoint | None:
+    """Return the choice that holds the fewest flows for its weight, and count one more there.
+
+    Only those whose load is known and that may take a flow are compared; None if there are none.
+    Flows sent since the last report count, so one process cannot crowd one sibling; of several
+    processes that leave at once, each adds at most the share that it would fill alone.
+    """
+    table = home.balance.table
+    standings = [
+        (standing.flows, standing.work, choice.name, choice)
+        for choice in choices
+        if (standing := table.standing(choice.name, now)) is not None
+        and standing.room
+        and not standing.suspected
+    ]
+    if not standings:
+        return None
+    chosen = min(standings, key=lambda s: s[:3])[3]
+    table.sent(chosen.name, now)
+    return chosen
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -195,3 +195,26 @@
                 served[name] += isinstance(action, wires.balancer.Relay)
     assert served["modest"] > 0.85 * asked["modest"]
     assert 0.05 * asked["greedy"] < served["greedy"] < 0.15 * asked["greedy"]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_night_leaves_the_flows_even(seed):
+    """Upstreams are replaced one after another, each newcomer empty while the others hold flows.
+
+    Handed to the next of its ranking, a flow would go to the newcomers only by chance, and those
+    that came early in the night would end it with several times the flows of the last one.
+    """
+    wire = wires.make_service(7, seed=seed, slots=8)
+    callers = open_flows(wire, 42)
+    homes = list(wire.homes.values())
+    for number, old in enumerate(list(homes)):
+        homes.append(wire.add_home(f"new-{number}", 300 + number))
+        wire.publish({wires.SERVICE: homes})
+        wire.run(32 * SECOND)
+        wire.publish({wires.SERVICE: homes}, leaving={old.name})
+        wire.run(2 * SECOND)
+        homes.remove(old)
+        wire.publish({wires.SERVICE: homes})
+    held = [holders(wire, callers)[home.name] for home in homes]
+    assert sum(held) == len(callers)
+    assert max(held) <= sum(held) / len(held) + 1
