--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -9,8 +9,8 @@
 import typing
 
 from ebonystile import clock, errors, logs, loop, settings
-from ebonystile.core import effects, events, sidecar, state, view
-from ebonystile.daemon import answers, reporting, server, watch
+from ebonystile.core import effects, events, siblings, sidecar, state, view
+from ebonystile.daemon import answers, control, reporting, server, tuning
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -39,6 +39,7 @@
             make_limits(config),
             random.Random(secrets.randbits(64)),
             now,
+            tuning.make_policy(config.spreading),
         )
         self.seal = seal.make_seal(config.keys, self.incarnation)
         self.bulk_seal = seal.make_seal(config.keys, self.incarnation)
@@ -53,6 +54,7 @@
         self.leave_by = 0
         self.drained_at = 0
         self.asking_health = False
+        self.asking_load = False
         self.loop = loop.Loop()
         self.peers = self.loop.listen(config.address, self.on_peer)
         identity = answers.Identity(
@@ -64,23 +66,37 @@
         self.run_time = self.report.metrics.latency(
             "run_seconds", "Time from handing a request to the upstream to its answer."
         )
+        self.control_plane = control.Control(
+            self.loop,
+            config,
+            "upstream",
+            self.incarnation,
+            self.on_view,
+            self.on_behind,
+            self.report.event,
+        )
         self.server = server.serve(
             config.address,
-            {TRANSFER_PATH: self.on_transfer, **self.report.handlers(config.keys)},
+            {
+                TRANSFER_PATH: self.on_transfer,
+                **self.control_plane.handlers(),
+                **self.report.handlers(config.keys),
+            },
             self.report.metrics.text,
             healthy=self.healthy,
             connection_limit=config.tcp_connection_limit,
         )
-        self.watcher = watch.Watcher(self.loop, config.platform, self.on_view)
+        self.control_plane.start(self.seal, self.peers)
         self.loop.every(events.TICK_MS, self.tick)
         self.loop.every(config.health_poll_ms, self.ask_health)
+        self.loop.every(config.load_poll_ms, self.ask_load)
         loop.on_signals(self.loop, self.leave)
 
     def run(self) -> None:
         """Run until the process has left."""
         self.report.event("process_started", address=":".join(map(str, self.config.address)))
         self.loop.run()
-        self.watcher.stop()
+        self.control_plane.stop()
         self.server.stop()
         for pool in (self.runs, self.polls, self.bulk, self.control):
             pool.shutdown(wait=False, cancel_futures=True)
@@ -101,19 +117,27 @@
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Take a datagram from a balancer or another sidecar."""
         try:
-            message = messages.unpack(self.seal.open(data).content)
+            opened = self.seal.open(data)
+            if self.control_plane.on_opened(opened, source):
+                return
+            message = messages.unpack(opened.content)
         except errors.DatagramError as error:
             self.counts["dropped_sealed"] += 1
             logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
             return
         if type(message) is messages.Forward:
             self.take(events.Arrived(message))
+        elif type(message) is messages.LoadReport:
+            self.take(events.LoadHeard(message))
 
     def on_view(self, newer: view.View) -> None:
         """Act by a newer view, or learn that the present one is still in force."""
-        self.seal.revision = max(self.seal.revision, newer.revision)
         self.take(events.ViewChanged(newer))
 
+    def on_behind(self) -> None:
+        """Log that the view may be old; the core noticed the pause itself and holds new work."""
+        self.report.event("behind")
+
     def on_transfer(self, question: bytes) -> bytes:
         """Answer a sidecar that hands a flow over; runs in a thread of the server."""
         body = self.bulk_seal.open(question, replayable=True).body
@@ -137,7 +161,10 @@
 
     def surroundings(self) -> answers.Surroundings:
         """Return what operators see of the shell."""
-        return answers.Surroundings(refusals=self.watcher.refusals())
+        suspected = {*siblings.suspects(self.core, clock.now()), *self.control_plane.suspected()}
+        return answers.Surroundings(
+            suspected=tuple(sorted(suspected)), refusals=self.control_plane.refusals()
+        )
 
     def healthy(self) -> bool:
         """Whether the process has a configuration and takes new work, for `/healthz`."""
@@ -160,22 +187,42 @@
         """Finish what runs, hand over what stays, then end."""
         self.report.event("stop_asked", reason=reason)
         self.leave_by = clock.now() + self.config.drain_ms
+        self.control_plane.leave()
         self.take(events.Leave(reason))
 
     def ask_health(self) -> None:
-        """Read whether the upstream drains by itself; its silence changes nothing."""
+        """Read whether the upstream is well, cold, or drains by itself."""
         if not self.asking_health:
             self.asking_health = True
             self.control.submit(self.upstream.health).add_done_callback(self.on_health)
 
     def on_health(self, future: concurrent.futures.Future) -> None:
-        """Leave when the upstream says that it drains."""
+        """Tell the core the upstream's health; leave when it says that it drains."""
         self.asking_health = False
         if future.cancelled() or future.exception() is not None:
             self.counts["health_failed"] += 1
-        elif future.result().draining and not self.core.leaving:
+            self.post(events.UpstreamHealth(False))
+            return
+        health = future.result()
+        self.post(events.UpstreamHealth(health.ok, health.cold))
+        if health.draining and not self.core.leaving:
             self.post(events.Leave("the upstream drains"))
 
+    def ask_load(self) -> None:
+        """Read what load the upstream claims to have; its silence changes nothing."""
+        if not self.asking_load:
+            self.asking_load = True
+            self.control.submit(self.upstream.load).add_done_callback(self.on_load)
+
+    def on_load(self, future: concurrent.futures.Future) -> None:
+        """Give the core the upstream's claim."""
+        self.asking_load = False
+        if future.cancelled() or future.exception() is not None:
+            self.counts["load_failed"] += 1
+        else:
+            claim = future.result()
+            self.post(events.UpstreamLoad(claim.running + claim.queued))
+
     # What is to be done
 
     def hand_over_request(self, job: client.Job) -> client.Reply:
@@ -268,6 +315,14 @@
     loop.send(daemon.peers, daemon.seal.seal_content(content), effect.address)
 
 
+@carry_out.register
+def _(effect: effects.SendLoad, daemon):
+    content = messages.pack_load(effect.report)
+    for address in effect.addresses:
+        loop.send(daemon.peers, daemon.seal.seal_content(content), address)
+    daemon.counts["load_reports"] += len(effect.addresses)
+
+
 @carry_out.register
 def _(effect: effects.RunRequest, daemon):
     job = client.Job(
--- a/src/ebonystile/settings.py
+++ b/src/ebonystile/settings.py
@@ -130,13 +130,18 @@
     )
     log_level: LogLevel = pydantic.Field("INFO", description="Least level of the lines logged.")
     watch_ms: int = duration(
-        25 * SECOND, "How long one watch of the platform waits for a newer revision.", least=100
+        2 * SECOND,
+        "How long one watch of the platform waits for a newer revision. Its answer confirms the "
+        "configuration for all; where that is old, other processes begin to watch.",
+        least=100,
+        most=5 * SECOND,
     )
     instances_poll_ms: int = duration(
-        2 * SECOND, "How often the platform's list of instances is read where it is read at all."
+        2 * SECOND,
+        "Least time between two reads of the platform's list, by the few processes that read it.",
     )
     exchange_ms: int = duration(
-        5 * SECOND, "How often revisions are compared with a random peer, before jitter."
+        SECOND, "How often a balancer compares revisions with a random peer; sidecars a quarter."
     )
     drain_ms: int = duration(
         30 * SECOND,
@@ -149,6 +154,67 @@
     event_limit: int = count(10_000, "Events kept in memory for the time line; oldest go first.")
 
 
+def share(default: float, description: str, *, most: float = 1.0):
+    """Return a field for a share or a small ratio."""
+    return pydantic.Field(default, ge=0, le=most, description=description)
+
+
+class GateSettings(validation.StrictModel):
+    """When a balancer refuses opens; docs/POLICY.md tells how to tune it."""
+
+    opens_per_second: int = count(
+        5_000, "Opens carried a second; beyond it each service and caller gets a fair share."
+    )
+    lag_ms: int = duration(50, "Lag behind the arriving datagrams beyond which less is carried.")
+    return_soonest_ms: int = duration(200, "Soonest that a refused caller is told to come back.")
+    return_latest_ms: int = duration(5 * SECOND, "Latest that a refused caller is told to.")
+
+
+class SpreadingSettings(validation.StrictModel):
+    """How a sidecar spreads opens and bounds its upstream; docs/POLICY.md tells how to tune it."""
+
+    placement: typing.Literal[
+        "power-of-two", "rendezvous", "bounded-loads", "least-of-all", "lexicographic"
+    ] = pydantic.Field(
+        "power-of-two", description="How it is decided whether an open is kept or passed on."
+    )
+    candidates: int = count(2, "Siblings compared for an open (power-of-two).", most=64)
+    work_gap: float = share(
+        0.3, "Requests a slot by which a sibling must have less for an open to go there.", most=100
+    )
+    flow_gap: float = share(0.1, "Share of flows by which it must hold fewer, with work alike.")
+    report_fade: float = share(
+        0.5,
+        "Time in which a report fades towards the mean, in recent request times; 0 never fades.",
+        most=100,
+    )
+    report_ms: int = duration(SECOND, "How often siblings are told the load.", least=100)
+    report_least_ms: int = duration(100, "Least time between two reports of changed load.")
+    report_step: int = count(2, "Change of work, in requests, that is reported early.")
+    report_fanout: int = count(8, "Siblings that are told.", most=64)
+    stale_after_ms: int = duration(3 * SECOND, "Age at which a sibling's report is ignored.")
+    ramp_ms: int = duration(
+        30 * SECOND, "Time in which a fresh or returning upstream gets to its whole weight."
+    )
+    claim_frozen_ms: int = duration(
+        30 * SECOND, "Time after which an unchanged load that the upstream claims is ignored."
+    )
+    queue_order: typing.Literal["fifo", "deadline"] = pydantic.Field(
+        "fifo", description="Which queued request runs next: the oldest or the most urgent."
+    )
+    when_shed: typing.Literal["shrink", "keep"] = pydantic.Field(
+        "shrink", description="What becomes of the slots in use while the upstream sheds."
+    )
+    return_horizon_ms: int = duration(
+        10 * SECOND, "Latest that a refused request is told to come back."
+    )
+    suspect_failures: int = count(3, "Failures in a row that make the upstream suspected.")
+    suspect_hold_ms: int = duration(
+        2 * SECOND, "First time that a suspected upstream is left alone; doubled at each relapse."
+    )
+    suspect_longest_ms: int = duration(2 * MINUTE, "Longest time that it is left alone.")
+
+
 class BalancerSettings(ProcessSettings):
     """The settings of `ebonystile-balancer`."""
 
@@ -156,6 +222,9 @@
     caller_cache_limit: int = count(
         200_000, "Flows whose caller's address or last home is remembered; a soft cache."
     )
+    gate: GateSettings = pydantic.Field(
+        GateSettings(), description="When opens are refused because there are too many."
+    )
 
     @pydantic.model_validator(mode="after")
     def check_addresses(self) -> typing.Self:
@@ -195,6 +264,9 @@
         SECOND, "How often the upstream's health and drain state are read."
     )
     load_poll_ms: int = duration(SECOND, "How often the upstream's load is read.")
+    spreading: SpreadingSettings = pydantic.Field(
+        SpreadingSettings(), description="How work is spread over the sidecars of a service."
+    )
 
     drain_ms: int = duration(
         11 * MINUTE,
