--- a/src/ebonystile/core/probing.py
+++ b/src/ebonystile/core/probing.py
@@ -115,7 +115,7 @@
     del spread.probes[nonce]
     if probe.indirect:
         if spread.membership.suspect(probe.name, now):
-            spread.trace("suspected", name=probe.name)
+            spread.trace("suspected", peer=probe.name)
             spread.note_members([probe.name])
         return
     address = spread.membership.address_of(probe.name)
