--- a/src/ebonystile/core/siblings.py
+++ b/src/ebonystile/core/siblings.py
@@ -92,12 +92,13 @@
 ) -> view.Endpoint | None:
     """Return the sibling that should take an open, or None to keep it or to walk the ranking.
 
-    An open is passed by load once only: two sidecars that each believe the other idle would hand
-    it to and fro, and its caller would wait.
+    Two sidecars that each believe the other idle would hand an open to and fro, and its caller
+    would wait. So it never comes back to one that has passed it on, and is passed a few times at
+    most; the second and third pass mend what an old report got wrong.
     """
-    if forward.visited or message.service not in home.serves:
+    if len(forward.visited) >= home.balance.policy.passes or message.service not in home.serves:
         return None
-    choices = home.siblings(message.service)
+    choices = [u for u in home.siblings(message.service) if u.key not in forward.visited]
     name = placement.choose(
         home.balance.policy.placing,
         message.flow,
@@ -111,3 +112,25 @@
         return None
     home.balance.table.sent(name, now)
     return next(u for u in choices if u.name == name)
+
+
+def lightest(home: state.State, choices: list[view.Endpoint], now: int) -> view.Endpoint | None:
+    """Return the choice that holds the fewest flows for its weight, and count one more there.
+
+    Only those whose load is known and that may take a flow are compared; None if there are none.
+    Flows sent since the last report count, so one process cannot crowd one sibling; of several
+    processes that leave at once, each adds at most the share that it would fill alone.
+    """
+    table = home.balance.table
+    standings = [
+        (standing.flows, standing.work, choice.name, choice)
+        for choice in choices
+        if (standing := table.standing(choice.name, now)) is not None
+        and standing.room
+        and not standing.suspected
+    ]
+    if not standings:
+        return None
+    chosen = min(standings, key=lambda s: s[:3])[3]
+    table.sent(chosen.name, now)
+    return chosen
