Send every older value that a process lacks, not one an exchange

Cause: since updates come in parts, an answer held one of the values that the asking process wants for refused documents. Copies that had joined twice in every order differed still (hypothesis found it: two refused documents, one of them deleted before), and a first one of no use would hold up the others for good. Ruled out: the order of joins and the tombstones' floor. Change: all that fit an update.

--- a/src/ebonystile/core/configuration.py
+++ b/src/ebonystile/core/configuration.py
@@ -190,13 +190,20 @@
         return Update(values, self.instances.delta(wanted.digest.instances), refusals)
 
     def lacked(self, wanted: Wanted, values: store.Delta) -> tuple[tuple[str, store.Entry], ...]:
-        """Return the first entry in force for a key that the asking process could not accept."""
+        """Return entries in force for keys that the asking process could not accept.
+
+        All of them, or what fits one update: with one at a time, a key whose older value is of no
+        use to the asking process would hold up all that come after it, in every exchange.
+        """
         named = {key for key, _ in values.entries}
-        for key, revision in wanted.lacking:
-            entry = self.values.entries.get(key)
-            if entry is not None and key not in named and entry.revision > revision:
-                return ((key, entry),)
-        return ()
+        entries = [
+            (key, self.values.entries[key])
+            for key, revision in wanted.lacking
+            if key in self.values.entries
+            and key not in named
+            and self.values.entries[key].revision > revision
+        ]
+        return tuple(entries[: store.count_within(entries, UPDATE_BYTES)])
 
     def apply(self, update: Update) -> Changes:
         """Take in an update of a peer."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -162,6 +162,20 @@
     assert state(behind) == state(conf)
 
 
+def test_every_refused_document_gets_its_older_value_in_one_update():
+    """A process starts when two documents in a row are wrong; a peer has the older ones.
+
+    Given one at a time, the first could hold up the second in every exchange.
+    """
+    peer = configuration.Configuration()
+    feed(peer, ("services/a", 1, services(line={"app": "l"})))
+    feed(peer, ("services/b", 2, services(photo={"app": "p"})))
+    new = configuration.Configuration()
+    feed(new, ("services/a", 3, services(line={})), ("services/b", 4, services(photo={})))
+    new.apply(peer.update_for(new.wanted()))
+    assert set(new.view.services) == {"line", "photo"}
+
+
 def test_update_comes_in_parts_that_fit_a_message(monkeypatch):
     monkeypatch.setattr(configuration, "UPDATE_BYTES", 100)
     conf = configuration.Configuration()
