Let feeds go on when their events overtake one another or a subscriber falls behind

Then the home's memory of 1,024 events ran over, and it dropped the oldest, just what it had fetched for that caller: the feed stood still for ever. Meanwhile each answer to a heartbeat made the caller subscribe and heartbeat again at each tick. Change: the caller holds events that came too early; the home drops what all subscribers have, then the newest; the same token again is no move.

--- a/src/ebonystile/core/call.py
+++ b/src/ebonystile/core/call.py
@@ -34,6 +34,9 @@
 sent to it vanishes without an answer.
 """
 
+FEED_AHEAD = 64
+"""Most events held that came before an earlier one: more than a home sends unacknowledged."""
+
 FEED_SILENCE = 1_000
 """After this long without an event, in ms, a feed is asked for anew from its position."""
 
@@ -84,7 +87,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Subscription:
-    """A feed the caller follows; `position` is the last event delivered."""
+    """A feed the caller follows; `position` is the last event delivered.
+
+    `ahead` holds events that came before an earlier one, which took a slower balancer.
+    """
 
     id: bytes
     path: str
@@ -92,6 +98,7 @@
     heard_at: int = 0
     resend_at: int = 0
     unknown: int = 0
+    ahead: dict[int, bytes] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -376,9 +383,12 @@
         """
         if not self.is_replaced_by(message):
             return
+        moved = message.token != self.token
         self.token = message.token
         self.stands_for = message.replaces
-        for subscription in self.subscriptions.values():
+        # An answer to a heartbeat tells the same token again; to ask anew each time would keep
+        # heartbeats and their answers going as fast as the caller ticks.
+        for subscription in self.subscriptions.values() if moved else ():
             subscription.resend_at = min(subscription.resend_at, now)
 
     def on_progress(self, message: messages.Progress, now: int) -> None:
@@ -466,15 +476,17 @@
             self.finish(Result(pending.id, Outcome.UNKNOWN, reason="the flow's home is lost"))
 
     def on_feedevent(self, message: messages.FeedEvent, now: int) -> None:
-        """Deliver the next event once; whatever else comes is only acknowledged."""
+        """Deliver events once and in order; those that came too early wait for the others."""
         subscription = self.subscriptions.get(message.request)
         if subscription is None:
             return
         subscription.heard_at = now
         subscription.unknown = 0
-        if message.position == subscription.position + 1:
-            subscription.position = message.position
-            self.events.append(Event(subscription.id, message.position, message.body))
+        if subscription.position < message.position <= subscription.position + FEED_AHEAD:
+            subscription.ahead[message.position] = message.body
+        while (body := subscription.ahead.pop(subscription.position + 1, None)) is not None:
+            subscription.position += 1
+            self.events.append(Event(subscription.id, subscription.position, body))
         self.send(
             messages.Acknowledge(
                 self.flow, self.service, self.token, subscription.id, subscription.position
--- a/src/ebonystile/core/feeds.py
+++ b/src/ebonystile/core/feeds.py
@@ -73,13 +73,29 @@
     for position, body in event.events:
         source.events[position] = body
         source.newest = max(source.newest, position)
-    while len(source.events) > state.SOURCE_EVENTS:
-        del source.events[min(source.events)]
     for flow, feed in subscribers(home, event.path):
         deliver(home, flow, feed, now)
+    trim(home, source)
     poll(home, now)
 
 
+def trim(home: state.State, source: state.Source) -> None:
+    """Keep the events within their bound: drop those that all have, then the newest.
+
+    Dropping the oldest took from a subscriber that had fallen behind just what was fetched for it:
+    its feed stood still for ever. The newest are asked for again once it has caught up.
+    """
+    over = len(source.events) - state.SOURCE_EVENTS
+    if over <= 0:
+        return
+    feeds = [feed.acknowledged for _, feed in subscribers(home, source.path)]
+    had_by_all = min(feeds, default=source.newest)
+    ordered = sorted(source.events)
+    old = [position for position in ordered[:over] if position <= had_by_all]
+    for position in old + ordered[len(ordered) - (over - len(old)) :]:
+        del source.events[position]
+
+
 def on_failed(home: state.State, event: events.FeedFailed, now: int) -> None:
     """Ask again a little later; subscribers keep their positions meanwhile."""
     source = home.sources.get(event.path)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,9 +1,11 @@
 """Follow requests, uploads, answers, feeds and handovers through all the cores at once."""
 
+import collections
+
 import pytest
 
 import tests.wire as wires
-from ebonystile.core import call, events
+from ebonystile.core import call, events, state
 
 
 def outcome_of(wire, caller, request, within=20_000):
@@ -57,6 +59,52 @@
         assert wire.all_runs[request] == 1
 
 
+def test_feed_events_that_overtake_one_another():
+    """Every second event takes a slower balancer, so it comes after the next ones.
+
+    The caller holds what came too early, and the feed goes on at the pace at which events come: it
+    is never stuck behind, nor asked for anew at each tick.
+    """
+    wire = wires.make_service(count=2)
+    sent = collections.Counter()
+
+    def judge(source, target, kind):
+        sent[kind] += 1
+        return [7 if kind == "FeedEvent" and sent[kind] % 2 else 1]
+
+    wire.judge = judge
+    caller = wire.add_caller()
+    caller.subscribe("spans", 0, wire.now)
+    wire.run(8_000)
+    newest = (wire.now - wires.FEED_START) // wires.FEED_EVERY_MS
+    assert [e.position for e in caller.events] == list(range(1, len(caller.events) + 1))
+    assert len(caller.events) >= newest - 10
+    assert sent["Subscribe"] < 20
+
+
+def test_subscriber_that_fell_behind_gets_every_event():
+    """The home's memory of a feed is full of newer events than a subscriber has.
+
+    What it lacks is asked of the upstream again, and must not be dropped as the oldest at once: its
+    feed would stand still for ever.
+    """
+    wire = wires.make_service(count=1)
+    ahead, behind = wire.add_caller(), wire.add_caller()
+    wire.run(500)
+    ahead.subscribe("spans", 0, wire.now)
+    cut = [True]
+    slow = next(a for a, c in wire.callers.items() if c is behind)
+    wire.judge = lambda s, target, kind: [] if cut[0] and target == slow else [1]
+    behind.subscribe("spans", 0, wire.now)
+    wire.run(10_000)
+    assert len(ahead.events) > state.SOURCE_EVENTS
+    cut[0] = False
+    wire.run(20_000)
+    newest = (wire.now - wires.FEED_START) // wires.FEED_EVERY_MS
+    assert [e.position for e in behind.events] == list(range(1, len(behind.events) + 1))
+    assert len(behind.events) >= newest - 10
+
+
 def test_feed_and_requests_survive_replacement_of_every_upstream():
     """A crew follows its feed while every upstream leaves in turn and a new one comes.
 
