--- a/src/ebonystile/core/call.py
+++ b/src/ebonystile/core/call.py
@@ -120,6 +120,7 @@
         self.closed = False
         self.reopened = 0
         self.heartbeat_at = now + HEARTBEAT
+        self.unknown = 0
         self.silent_since = now
         self.ticked_at = now
         self.pending: dict[bytes, Pending] = {}
@@ -376,6 +377,7 @@
         """
         if not self.is_replaced_by(message):
             return
+        self.unknown = 0
         self.token = message.token
         self.stands_for = message.replaces
         for subscription in self.subscriptions.values():
@@ -454,16 +456,32 @@
             if subscription.unknown >= UNKNOWN_LIMIT:
                 self.reopen(now)
             return
+        if not message.request:
+            self.on_unknown_heartbeat(now)
+            return
         pending = self.pending.get(message.request)
         if pending is None:
             return
-        pending.unknown += 1
-        if pending.unknown < UNKNOWN_LIMIT:
+        if pending.cancelled and not pending.settling:
+            # The request itself may never have come; settling it bars every copy of it.
+            pending.settling = True
+            pending.resend_at = now
             return
-        if pending.idempotent:
+        pending.unknown += 1
+        if pending.unknown >= UNKNOWN_LIMIT:
+            self.reopen(now)
+
+    def on_unknown_heartbeat(self, now: int) -> None:
+        """Leave a home that has forgotten the flow, before a request finds that out.
+
+        After a long sleep of the caller the lease has ended. A request that must not be repeated
+        would end as unknown, though it never could have run.
+        """
+        self.unknown += 1
+        if self.unknown < UNKNOWN_LIMIT:
+            self.heartbeat_at = now + RESEND_FIRST
+        elif not self.in_doubt():
             self.reopen(now)
-        else:
-            self.finish(Result(pending.id, Outcome.UNKNOWN, reason="the flow's home is lost"))
 
     def on_feedevent(self, message: messages.FeedEvent, now: int) -> None:
         """Deliver the next event once; whatever else comes is only acknowledged."""
@@ -490,11 +508,13 @@
     def reopen(self, now: int) -> None:
         """Open the flow anew after its home was lost, under a new id, and go on.
 
-        Requests that must not be repeated end as unknown: the lost home may have run them.
+        Requests that must not be repeated end as unknown: the lost home may have run them. So do
+        cancelled ones, which nobody wants to be run any more.
         """
         self.reopened += 1
+        self.unknown = 0
         for pending in list(self.pending.values()):
-            if pending.sent and not pending.idempotent:
+            if pending.sent and (pending.cancelled or not pending.idempotent):
                 self.finish(Result(pending.id, Outcome.UNKNOWN, reason="the flow's home is lost"))
             pending.unknown = 0
             pending.answer = b""
--- a/src/ebonystile/core/handover.py
+++ b/src/ebonystile/core/handover.py
@@ -137,7 +137,8 @@
             handover.deadline = now + home.limits.handover_deadline
             send(home, flow, now)
     elif event.reply.incarnation != handover.incarnation:
-        restart_with_doubt(home, flow, event.reply.incarnation, now)
+        # Restarted since: what the lost incarnation may have run of the flow, nobody knows.
+        lose(home, flow)
     else:
         try_another(home, flow, now)
 
@@ -177,20 +178,6 @@
     home.trace("handed_over", flow.id, target=flow.moved_to.name, transfer=transfer_id)
 
 
-def restart_with_doubt(home: state.State, flow: flows.Flow, incarnation: int, now: int) -> None:
-    """Send the flow to a target that was restarted after it may have taken the flow.
-
-    The lost incarnation may have run requests that nobody remembers. Whoever asks the new one for
-    a request that could be among them must hear that its outcome is unknown; a second run would
-    otherwise follow. Its process has ended, so it cannot run any more of them.
-    """
-    handover = flow.handover
-    handover.incarnation = incarnation
-    flow.forgotten_before = now + home.limits.max_deadline + home.limits.ledger_margin
-    home.trace("handover_doubt", flow.id, target=handover.target.name)
-    send(home, flow, now)
-
-
 def try_another(home: state.State, flow: flows.Flow, now: int) -> None:
     """Go to the next sibling after one that has refused for good, under a new transfer id."""
     handover = flow.handover
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -375,6 +375,7 @@
         flows=config.flow_limit,
         ledger=config.ledger_limit,
         upload_bytes=config.ledger_bytes_limit,
+        answers_bytes=config.ledger_bytes_limit,
         flow_lease=config.flow_lease_ms,
         ledger_margin=config.ledger_margin_ms,
         max_deadline=config.max_deadline_ms,
