Let heartbeats follow the lease; remember as many senders as the target size has

Replay windows were kept for 4,096 senders where a balancer hears 16,000. Change: the next heartbeat comes after a third of what is left of the lease, at most a minute; the default lease is three minutes, so the wire carries as many heartbeats as docs/CAPACITY.md counts. 20,000 senders are remembered. Ports of test processes come from below the kernel's ephemeral range: one was taken between its choice and its use (seen once as 'Address already in use'). The operators' feature checks again that the revision does not fall, which its rewriting had dropped. Ruled out: a lease of one minute with a heartbeat every 20 s: three times the datagrams.

--- a/benches/path.py
+++ b/benches/path.py
@@ -260,7 +260,7 @@
         running.publish_services({"ledger": {"app": "ledger"}})
         upstream = children.start_upstream("ledger-0", "ledger", "--service-ms", 0)
         running.label("ledger-0", {"app": "ledger"})
-        running.start_sidecar("ledger-0", ZONE, upstream, drain_ms=0, log_level="ERROR")
+        running.start_sidecar("ledger-0", ZONE, upstream, log_level="ERROR")
         running.start_balancer("entry-0", ZONE, drain_ms=0, log_level="ERROR")
         caller = client.make_caller(running.addresses)
         flow = caller.open("ledger", clock.now() + 10_000)
@@ -282,6 +282,7 @@
         timed(count // 10, direct)
         ours = quantiles(timed(count, through))
         theirs = quantiles(timed(count, direct))
+        flow.close()
         caller.close()
     for name, value, baseline in zip(("p50", "p99"), ours, theirs, strict=True):
         report.emit(report.measure(f"round_trip_{name}", value, "ms", baseline=baseline))
--- a/src/ebonystile/core/call.py
+++ b/src/ebonystile/core/call.py
@@ -24,8 +24,15 @@
 SETTLE_GRACE = 2_000
 """How long after its deadline a request that must not be repeated may still be settled, in ms."""
 
-HEARTBEAT = 60_000
-"""Time between heartbeats of an open flow, in ms."""
+HEARTBEAT_SHARE = 3
+"""Heartbeats come when this part of what is left of the lease has passed.
+
+Were they as far apart as the lease is long, an idle flow would end just as its heartbeat came. One
+that is lost is followed by the next after a third of the rest, so several fit into any lease.
+"""
+
+HEARTBEAT_LEAST, HEARTBEAT_MOST = 1_000, 60_000
+"""Shortest and longest time between two heartbeats, in ms."""
 
 SILENCE_LIMIT = 6_000
 """After this long without any word, in ms, a caller that waits opens its flow anew elsewhere.
@@ -126,7 +133,8 @@
         self.refusal: messages.OpenRefused | None = None
         self.closed = False
         self.reopened = 0
-        self.heartbeat_at = now + HEARTBEAT
+        self.lease_until = now
+        self.heartbeat_at = now + HEARTBEAT_MOST
         self.unknown = 0
         self.silent_since = now
         self.ticked_at = now
@@ -194,7 +202,7 @@
         if not self.token:
             self.tick_open(now)
         elif self.heartbeat_at <= now:
-            self.heartbeat_at = now + HEARTBEAT
+            self.plan_heartbeat(now)
             self.send(messages.Heartbeat(self.flow, self.service, self.token))
         for pending in list(self.pending.values()):
             self.tick_request(pending, now)
@@ -206,6 +214,11 @@
                 self.send(messages.Heartbeat(self.flow, self.service, self.token))
         self.watch_silence(now)
 
+    def plan_heartbeat(self, now: int) -> None:
+        """Set the time of the next heartbeat."""
+        wait = (self.lease_until - now) // HEARTBEAT_SHARE
+        self.heartbeat_at = now + min(max(wait, HEARTBEAT_LEAST), HEARTBEAT_MOST)
+
     def watch_silence(self, now: int) -> None:
         """Leave a home that says nothing any more, unless it may have run what must not run twice.
 
@@ -347,6 +360,8 @@
             return
         self.token = message.token
         self.stands_for = message.replaces
+        self.lease_until = message.lease_until
+        self.plan_heartbeat(now)
         self.refusal = None
         for pending in self.pending.values():
             self.send_request(pending, now)
@@ -388,6 +403,8 @@
         self.unknown = 0
         self.token = message.token
         self.stands_for = message.replaces
+        self.lease_until = message.lease_until
+        self.plan_heartbeat(now)
         # An answer to a heartbeat tells the same token again; to ask anew each time would keep
         # heartbeats and their answers going as fast as the caller ticks.
         for subscription in self.subscriptions.values() if moved else ():
--- a/src/ebonystile/peer/seal.py
+++ b/src/ebonystile/peer/seal.py
@@ -30,8 +30,12 @@
 REPLAY_WINDOW = 1024
 """How far behind the newest sequence number of a sender a datagram may arrive."""
 
-MAX_SENDERS = 4096
-"""Senders remembered at once; the least recently heard is forgotten first."""
+MAX_SENDERS = 20_000
+"""Senders remembered at once; the least recently heard is forgotten first.
+
+More than the 18,000 processes of the target size: with fewer, a balancer that hears all sidecars in
+turn would forget each before it is heard again, and take its old datagrams for new ones.
+"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonystile/settings.py
+++ b/src/ebonystile/settings.py
@@ -245,7 +245,7 @@
         64 << 20, "Bytes of answers and uploads remembered at once.", most=16 << 30
     )
     flow_lease_ms: int = duration(
-        60 * SECOND, "How long a flow stays without a sign of its caller.", least=SECOND
+        3 * MINUTE, "How long a flow stays without a sign of its caller.", least=10 * SECOND
     )
     ledger_margin_ms: int = duration(
         10 * SECOND, "How long after its deadline a request and its answer are remembered."
--- a/standins/system.py
+++ b/standins/system.py
@@ -19,18 +19,23 @@
 POLL_S = 0.05
 
 
+PORTS = range(10_000, 30_000)
+"""Below the ports that the kernel gives to outgoing connections, so that none of those takes a
+port between the moment at which it was found free and the start of the process that is to use it."""
+
+
 def free_port() -> int:
     """Return a port that is free for UDP and TCP at this moment."""
     while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            with (
-                contextlib.suppress(OSError),
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-            ):
-                udp.bind(("127.0.0.1", port))
-                return port
+        port = secrets.choice(PORTS)
+        with (
+            contextlib.suppress(OSError),
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            return port
 
 
 class System:
--- a/tests/test_operator_system.py
+++ b/tests/test_operator_system.py
@@ -79,6 +79,7 @@
     for number in range(2):
         running.label(f"line-{number}", {"app": SERVICE})
     wait_for(lambda: not any(p["leaving"] for p in status_of(running).values()))
+    running.revision_before = max(p["revision"] for p in status_of(running).values())
 
 
 @given("a caller with an open flow", target_fixture="flow")
@@ -114,6 +115,7 @@
 
     found = wait_for(settled)
     assert set(found) == PROCESSES
+    assert min(p["revision"] for p in found.values()) >= running.revision_before
     assert all(p["zone"] == ZONE and p["reachable"] for p in found.values())
     assert found["line-0"]["services"] == [SERVICE]
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -152,3 +152,20 @@
     assert result.outcome is call.Outcome.ANSWERED
     wire.run(2_000)
     assert home.core.flows[caller.flow].moved_to is not None
+
+
+def test_an_idle_flow_outlives_its_lease():
+    """A caller has an open flow and says nothing on it for four leases.
+
+    Heartbeats come a third of a lease apart, whatever the lease is; some are lost. The flow is
+    never opened anew, and a report on it then is answered.
+    """
+    wire = wires.make_service(flow_lease=9_000)
+    caller = wire.add_caller()
+    wire.run(500)
+    flow = caller.flow
+    wire.judge = lambda *_: [] if wire.rng.random() < 0.2 else [wires.HOP_MS]
+    wire.run(36_000)
+    request = caller.request("reports", b"r", wire.now + 20_000, False, wire.now)
+    assert outcome_of(wire, caller, request).outcome is call.Outcome.ANSWERED
+    assert caller.flow == flow
