--- a/standins/demo.py
+++ b/standins/demo.py
@@ -27,6 +27,9 @@
 
 RECORD_SECONDS = 60.0
 
+LIMIT_SECONDS = 180
+"""A run that takes longer than this is broken off, with a status other than 0."""
+
 USERS = {
     "line-status": ("--feeds", 56, "--kind", "report", "--bulk-share", 0.1),
     "photo": ("--uploads", 6, "--upload-every", 2.5, "--least", 1_000_000, "--most", 3_000_000),
@@ -130,11 +133,14 @@
     def replace_all(self) -> None:
         """Replace every upstream, one at a time in each service, and every balancer meanwhile."""
         self.say("the night: replacing every upstream and every balancer")
-        with concurrent.futures.ThreadPoolExecutor(len(self.services) + 1) as pool:
-            tasks = [pool.submit(self.replace_upstreams, service) for service in self.services]
-            tasks.append(pool.submit(self.replace_balancers))
+        pool = concurrent.futures.ThreadPoolExecutor(len(self.services) + 1)
+        tasks = [pool.submit(self.replace_upstreams, service) for service in self.services]
+        tasks.append(pool.submit(self.replace_balancers))
+        try:
             for task in tasks:
                 task.result()
+        finally:
+            pool.shutdown(wait=False, cancel_futures=True)
 
     def replace_upstreams(self, service: fleet.Service) -> None:
         """Replace the upstreams of a service, each by a new one in the same zone."""
@@ -143,6 +149,8 @@
             name = member.sidecar.name
             self.fleet.add_upstream(service, f"{name}-new", member.sidecar.zone)
             self.fleet.remove_upstream(member)
+            if self.fleet.faults:
+                return
             self.replaced["upstream"] += 1
             self.say(f"replaced upstream {name}")
 
@@ -193,13 +201,15 @@
 
 
 def interrupt(*_: object) -> None:
-    """Let SIGTERM unwind the `with` blocks, so that nothing that was started stays behind."""
+    """Let SIGTERM and the time limit unwind the `with` blocks, so that nothing stays behind."""
     raise KeyboardInterrupt
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the demo; 0 if every promise was kept."""
     signal.signal(signal.SIGTERM, interrupt)
+    signal.signal(signal.SIGALRM, interrupt)
+    signal.alarm(LIMIT_SECONDS)
     parser = argparse.ArgumentParser(prog="demo", description=__doc__)
     parser.add_argument("--small", action="store_true", help="one service with two upstreams")
     parser.add_argument("--logs", type=pathlib.Path, help="folder that keeps a log of each process")
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 replacement starts the new process, lets the old one leave, and only then sends it SIGTERM.
 """
 
+import concurrent.futures
 import dataclasses
 import json
 import pathlib
@@ -134,10 +135,7 @@
         """Stop what is left, sidecars before their upstreams, and collect the counts."""
         sidecars = [member.sidecar for member in self.members.values()]
         balancers = list(self.system.balancers.values())
-        for process in (*sidecars, *balancers):
-            process.child.popen.terminate()
-        for sidecar in sidecars:
-            self.stop(sidecar.child)
-            self.collect(sidecar)
-        for balancer in balancers:
-            self.stop(balancer.child)
+        processes_left = [process.child for process in (*sidecars, *balancers)]
+        with concurrent.futures.ThreadPoolExecutor(len(processes_left)) as pool:
+            list(pool.map(self.stop, processes_left))
+            list(pool.map(self.collect, sidecars))
