Let the test of a caller that slept put it to sleep

Change: the caller is taken off the wire for longer than the lease, and the flow must have been opened anew exactly once, which is stricter. After: tests/test_safeguards.py passes.

--- a/standins/system.py
+++ b/standins/system.py
@@ -20,8 +20,10 @@
 
 
 PORTS = range(10_000, 30_000)
-"""Below the ports that the kernel gives to outgoing connections, so that none of those takes a
-port between the moment at which it was found free and the start of the process that is to use it."""
+"""Below the ports that the kernel gives to outgoing connections.
+
+One of those could take a port between the moment at which it was found free and its use.
+"""
 
 
 def free_port() -> int:
--- a/tests/test_safeguards.py
+++ b/tests/test_safeguards.py
@@ -418,7 +418,13 @@
     """The caller slept for longer than the lease. Its next demand must not end in doubt."""
     wire = wires.make_service(count=2, flow_lease=3_000)
     caller = wire.add_caller()
-    wire.run(call.HEARTBEAT + 2_000)
+    wire.run(200)
+    asleep = dict(wire.callers)
+    wire.callers.clear()
+    wire.run(10_000)
+    wire.callers.update(asleep)
+    wire.run(2_000)
+    assert caller.reopened == 1
     request = caller.request("report", b"r", wire.now + 9_000, False, wire.now)
     wire.run(2_000)
     assert [(o.request, o.outcome) for o in caller.outcomes] == [(request, call.Outcome.ANSWERED)]
