--- a/tests/test_safeguards.py
+++ b/tests/test_safeguards.py
@@ -455,8 +455,8 @@
     caller = caller_with_token()
     feed = caller.subscribe("spans", 0, NOW)
     for position in (2, 1, 1, 3, 2, 2, 3):
-        caller.receive(messages.FeedEvent(caller.flow, feed, position, b"e"), NOW)
-    assert [e.position for e in caller.events] == [1, 2, 3]
+        caller.receive(messages.FeedEvent(caller.flow, feed, position, b"%d" % position), NOW)
+    assert [(e.position, e.body) for e in caller.events] == [(1, b"1"), (2, b"2"), (3, b"3")]
 
 
 def test_one_walk_that_finds_no_home_is_not_believed():
