--- a/src/ebonystile/daemon/guard.py
+++ b/src/ebonystile/daemon/guard.py
@@ -1,6 +1,7 @@
-"""End a process at once when its owner thread meets a bug."""
+"""End a process cleanly: at once when its owner thread meets a bug, else with the right status."""
 
 import os
+import signal
 
 from ebonystile import logs, loop
 
@@ -19,3 +20,8 @@
     except Exception as error:
         logs.failure("bug", error)
         os._exit(FAILURE)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # While Python goes down it puts the default action back in place of handlers, though not
+        # in place of "ignore". A second SIGTERM then would end a process that has left gracefully
+        # with a status that looks like a crash; it has nothing more to tell us.
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -23,3 +23,29 @@
     assert done.returncode == 1
     assert "event=bug" in done.stderr
     assert "ZeroDivisionError" in done.stderr
+
+
+LATE_SIGTERM = """
+import os, signal
+from ebonystile import loop
+from ebonystile.daemon import guard
+owner = loop.Loop()
+loop.on_signals(owner, lambda reason: owner.stop())
+owner.post(lambda: os.kill(os.getpid(), signal.SIGTERM))
+guard.run(owner)
+os.kill(os.getpid(), signal.SIGTERM)
+class Late:
+    def __del__(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+late = Late()
+"""
+
+
+def test_a_sigterm_during_the_last_moments_changes_nothing():
+    """The process has left gracefully and is ending; another SIGTERM comes as Python goes down.
+
+    By then Python has put the default action back in place of its handlers, so the process would
+    end with a status that looks like a crash.
+    """
+    done = subprocess.run([sys.executable, "-c", LATE_SIGTERM], timeout=60, check=False)
+    assert done.returncode == 0
