Count a walk that finds no home once a resend; pass over tokens that are none

Cause: read-through of core/call.py. Each answer 'unknown flow' counted, so the 32 parts of one upload that met one sidecar with an old view made the caller leave a living home at once, and a request that must not be repeated ended as unknown. A token of a wrong length in an answer raised in the caller's thread. Ruled out: a higher limit (a window of parts is 32 answers).

--- a/src/ebonystile/core/call.py
+++ b/src/ebonystile/core/call.py
@@ -1,11 +1,13 @@
 """Decide what a caller sends: one flow's opens, requests and feeds, as a plain state machine.
 
-`Call.decide` methods take commands, datagrams and ticks with the time in ms; datagrams to send and
-final outcomes are gathered in `outbox` and `outcomes`. The caller library and tests drive it.
+Its methods take commands, datagrams and ticks with the time in ms; datagrams to send, final
+outcomes and feed events are gathered in `outbox`, `outcomes` and `events`. The caller library and
+tests drive it.
 """
 
 import dataclasses
 import enum
+import functools
 
 from ebonystile.caller import messages
 from ebonystile.core import state, view
@@ -68,6 +70,25 @@
     retry_at: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Doubt:
+    """How often a flow was called unknown, and when the next time counts (ms).
+
+    All parts of an upload take one walk at the same moment. Were each of its answers counted, one
+    sidecar with an old view would make the caller leave a home that lives.
+    """
+
+    count: int = 0
+    next_at: int = 0
+
+    def add(self, now: int) -> bool:
+        """Count a walk, if it is a resend after the last one; return whether to believe it."""
+        if now >= self.next_at:
+            self.count += 1
+            self.next_at = now + RESEND_FIRST
+        return self.count >= UNKNOWN_LIMIT
+
+
 @dataclasses.dataclass(slots=True)
 class Pending:
     """A request under way."""
@@ -82,7 +103,7 @@
     uploaded: bool = False
     resend_at: int = 0
     wait: int = RESEND_FIRST
-    unknown: int = 0
+    doubt: Doubt = dataclasses.field(default_factory=Doubt)
     sent: bool = False
     settling: bool = False
     cancelled: bool = False
@@ -104,7 +125,7 @@
     position: int
     heard_at: int = 0
     resend_at: int = 0
-    unknown: int = 0
+    doubt: Doubt = dataclasses.field(default_factory=Doubt)
     ahead: dict[int, bytes] = dataclasses.field(default_factory=dict)
 
 
@@ -135,7 +156,7 @@
         self.reopened = 0
         self.lease_until = now
         self.heartbeat_at = now + HEARTBEAT_MOST
-        self.unknown = 0
+        self.doubt = Doubt()
         self.silent_since = now
         self.ticked_at = now
         self.pending: dict[bytes, Pending] = {}
@@ -349,12 +370,17 @@
         if message.flow != self.flow:
             return
         self.silent_since = now
-        handler = getattr(self, "on_" + type(message).__name__.lower(), None)
-        if handler is not None:
-            handler(message, now)
+        self.on_message(message, now)
+
+    @functools.singledispatchmethod
+    def on_message(self, message: messages.ToCaller, now: int) -> None:
+        """Act on a message; those without a rule of their own need nothing done."""
 
+    @on_message.register
     def on_opened(self, message: messages.Opened, now: int) -> None:
         """Keep the first token; close a second home that a repeated open has made."""
+        if view.unpack_token(message.token) is None:
+            return
         if self.token:
             self.on_opened_again(message)
             return
@@ -377,7 +403,8 @@
         if self.is_replaced_by(message):
             self.token = message.token
             self.stands_for = message.replaces
-        elif view.unpack_token(message.token).incarnation not in self.stands_for:
+            return
+        if view.unpack_token(message.token).incarnation not in self.stands_for:
             self.send(messages.Close(self.flow, self.service, message.token))
 
     def is_replaced_by(self, message: messages.Opened | messages.Moved) -> bool:
@@ -385,22 +412,24 @@
         token = view.unpack_token(self.token)
         return token is not None and token.incarnation in message.replaces
 
-    def on_openrefused(self, message: messages.OpenRefused, now: int) -> None:
+    @on_message.register
+    def on_open_refused(self, message: messages.OpenRefused, now: int) -> None:
         """Come back when told to."""
         if not self.token:
             self.refusal = message
             self.open_resend_at = max(self.open_resend_at, message.retry_at)
 
+    @on_message.register
     def on_moved(self, message: messages.Moved, now: int) -> None:
         """Use the new home's token from now on, if that home stands for the present one.
 
         An idle second home that is handed over says the same of itself; it knows nothing of what
         the real one ran, so a request sent there again would run twice.
         """
-        if not self.is_replaced_by(message):
+        if view.unpack_token(message.token) is None or not self.is_replaced_by(message):
             return
         moved = message.token != self.token
-        self.unknown = 0
+        self.doubt = Doubt()
         self.token = message.token
         self.stands_for = message.replaces
         self.lease_until = message.lease_until
@@ -410,6 +439,7 @@
         for subscription in self.subscriptions.values() if moved else ():
             subscription.resend_at = min(subscription.resend_at, now)
 
+    @on_message.register
     def on_progress(self, message: messages.Progress, now: int) -> None:
         """Send the missing parts."""
         pending = self.pending.get(message.request)
@@ -420,14 +450,16 @@
         pending.resend_at = now
         self.send_request(pending, now)
 
+    @on_message.register
     def on_running(self, message: messages.Running, now: int) -> None:
         """Go on waiting; later copies need only ask."""
         pending = self.pending.get(message.request)
         if pending is not None:
             pending.missing = ()
-            pending.unknown = 0
+            pending.doubt = Doubt()
 
-    def on_answerpart(self, message: messages.AnswerPart, now: int) -> None:
+    @on_message.register
+    def on_answer_part(self, message: messages.AnswerPart, now: int) -> None:
         """Gather the answer; parts of another run of the request start it anew."""
         pending = self.pending.get(message.request)
         if pending is None:
@@ -453,7 +485,8 @@
         elif have % messages.WINDOW == 0:
             self.fetch(pending)
 
-    def on_notrun(self, message: messages.NotRun, now: int) -> None:
+    @on_message.register
+    def on_not_run(self, message: messages.NotRun, now: int) -> None:
         """End a request that never was run."""
         self.finish(
             Result(
@@ -464,7 +497,8 @@
             )
         )
 
-    def on_outcomeunknown(self, message: messages.OutcomeUnknown, now: int) -> None:
+    @on_message.register
+    def on_outcome_unknown(self, message: messages.OutcomeUnknown, now: int) -> None:
         """End a request whose outcome nobody knows."""
         self.finish(
             Result(
@@ -475,12 +509,12 @@
             )
         )
 
-    def on_unknownflow(self, message: messages.UnknownFlow, now: int) -> None:
+    @on_message.register
+    def on_unknown_flow(self, message: messages.UnknownFlow, now: int) -> None:
         """Believe that the home is lost once several walks, a resend apart, say so."""
         subscription = self.subscriptions.get(message.request)
         if subscription is not None:
-            subscription.unknown += 1
-            if subscription.unknown >= UNKNOWN_LIMIT:
+            if subscription.doubt.add(now):
                 self.reopen(now)
             return
         if not message.request:
@@ -494,8 +528,7 @@
             pending.settling = True
             pending.resend_at = now
             return
-        pending.unknown += 1
-        if pending.unknown >= UNKNOWN_LIMIT:
+        if pending.doubt.add(now):
             self.reopen(now)
 
     def on_unknown_heartbeat(self, now: int) -> None:
@@ -504,19 +537,19 @@
         After a long sleep of the caller the lease has ended. A request that must not be repeated
         would end as unknown, though it never could have run.
         """
-        self.unknown += 1
-        if self.unknown < UNKNOWN_LIMIT:
+        if not self.doubt.add(now):
             self.heartbeat_at = now + RESEND_FIRST
         elif not self.in_doubt():
             self.reopen(now)
 
-    def on_feedevent(self, message: messages.FeedEvent, now: int) -> None:
+    @on_message.register
+    def on_feed_event(self, message: messages.FeedEvent, now: int) -> None:
         """Deliver events once and in order; those that came too early wait for the others."""
         subscription = self.subscriptions.get(message.request)
         if subscription is None:
             return
         subscription.heard_at = now
-        subscription.unknown = 0
+        subscription.doubt = Doubt()
         if subscription.position < message.position <= subscription.position + FEED_AHEAD:
             subscription.ahead[message.position] = message.body
         while (body := subscription.ahead.pop(subscription.position + 1, None)) is not None:
@@ -528,7 +561,8 @@
             )
         )
 
-    def on_feedended(self, message: messages.FeedEnded, now: int) -> None:
+    @on_message.register
+    def on_feed_ended(self, message: messages.FeedEnded, now: int) -> None:
         """Ask for the feed anew when told to."""
         subscription = self.subscriptions.get(message.request)
         if subscription is not None:
@@ -541,16 +575,16 @@
         cancelled ones, which nobody wants to be run any more.
         """
         self.reopened += 1
-        self.unknown = 0
+        self.doubt = Doubt()
         for pending in list(self.pending.values()):
             if pending.sent and (pending.cancelled or not pending.idempotent):
                 self.finish(Result(pending.id, Outcome.UNKNOWN, reason="the flow's home is lost"))
-            pending.unknown = 0
+            pending.doubt = Doubt()
             pending.answer = b""
             pending.answer_parts = {}
             pending.missing = tuple(range(min(pending.total, messages.WINDOW)))
         for subscription in self.subscriptions.values():
-            subscription.unknown = 0
+            subscription.doubt = Doubt()
         self.flow = self.randomness.randbytes(messages.ID_BYTES)
         self.token = b""
         self.stands_for = ()
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -294,6 +294,12 @@
         "UNKNOWN_LIMIT = 3",
         "UNKNOWN_LIMIT = 1",
     ),
+    Mutation(
+        "unknown flow counted once a resend",
+        CORE + "call.py",
+        "if now >= self.next_at:",
+        "if now >= 0:",
+    ),
     Mutation(
         "no second try elsewhere of what may have run",
         CORE + "call.py",
