Say again that a flow has ended until its home confirms it

Cause: a demo on a busy machine ended with 'photo-2-new ended with status -9': callers said Close once, a copy was lost or met a flow on its way to another home, and the flow held its sidecar, which had no sibling left, beyond the demo's patience. The three new cases failed first. Ruled out: shorter leases (three times the heartbeats); ending flows without a word when an upstream leaves alone (breaks a flow whose caller lives). Change: up to six copies, at growing intervals, to the newest home known, until Closed; a caller that ends waits up to a second for its closed flows.

--- a/src/ebonystile/caller/client.py
+++ b/src/ebonystile/caller/client.py
@@ -19,6 +19,9 @@
 from ebonystile.core import call, view
 
 TICK_MS = 20
+LAST_WORDS_MS = 1_000
+"""Longest time, in ms, that a caller which ends says again that its flows are closed."""
+
 DEFAULT_ALLOWANCE = budget.Allowance()
 
 
@@ -76,7 +79,14 @@
     def close(self) -> None:
         """End the flow; requests under way end as unknown."""
         self.post(self.core.close)
-        self.caller.loop.post(lambda: self.caller.forget(self))
+        self.caller.loop.post(self.end_futures)
+
+    def end_futures(self) -> None:
+        """End what was under way on a closed flow."""
+        for request, future in self.futures.items():
+            reason = "the flow was closed"
+            future.set_result(call.Result(request, call.Outcome.UNKNOWN, reason=reason))
+        self.futures.clear()
 
     def post(self, action: abc.Callable[[], typing.Any]) -> None:
         """Do something in the caller's thread and send what comes of it."""
@@ -122,6 +132,7 @@
         self.flows: dict[bytes, Flow] = {}
         self.budget = budget.Budget(allowance, clock.now())
         self.budget_lock = threading.Lock()
+        self.end_by = 0
         self.loop = loop.Loop()
         self.udp = self.loop.listen((local, 0), self.on_datagram)
         self.loop.every(TICK_MS, self.tick)
@@ -176,10 +187,14 @@
             return again < deadline and self.budget.spend(clock.now())
 
     def close(self) -> None:
-        """End the thread and the socket."""
-        self.loop.post(self.loop.stop)
+        """End the thread and the socket; wait a moment until closed flows' homes have heard it."""
+        self.loop.post(self.begin_to_end)
         self.thread.join()
 
+    def begin_to_end(self) -> None:
+        """Set the time by which the thread ends."""
+        self.end_by = clock.now() + LAST_WORDS_MS
+
     def on_datagram(self, data: bytes, source: view.Address) -> None:
         """Give a datagram to its flow; whatever is none of ours is dropped."""
         try:
@@ -197,6 +212,14 @@
         for flow in list(self.flows.values()):
             flow.core.tick(now)
             self.flush(flow)
+            if flow.core.done:
+                del self.flows[flow.core.flow]
+        if self.end_by and (now >= self.end_by or not self.closing()):
+            self.loop.stop()
+
+    def closing(self) -> bool:
+        """Whether a home may still have to hear that its flow has ended."""
+        return any(flow.core.closed for flow in self.flows.values())
 
     def flush(self, flow: Flow) -> None:
         """Send what a flow has to send and hand out what has come to an end."""
@@ -218,14 +241,6 @@
             # The flow was opened anew under another id, after its home was lost.
             self.flows = {f.core.flow: f for f in self.flows.values()}
 
-    def forget(self, flow: Flow) -> None:
-        """Drop a closed flow and end what was under way on it."""
-        self.flows.pop(flow.core.flow, None)
-        for request, future in flow.futures.items():
-            reason = "the flow was closed"
-            future.set_result(call.Result(request, call.Outcome.UNKNOWN, reason=reason))
-        flow.futures.clear()
-
 
 def answer_of(result: call.Result, service: str) -> call.Result:
     """Return an answered result; raise the error that any other one stands for."""
--- a/src/ebonystile/core/call.py
+++ b/src/ebonystile/core/call.py
@@ -36,6 +36,10 @@
 HEARTBEAT_LEAST, HEARTBEAT_MOST = 1_000, 60_000
 """Shortest and longest time between two heartbeats, in ms."""
 
+CLOSE_TRIES = 6
+"""How often a close is said until the home confirms it: a home that never hears of it holds the
+flow until its lease ends, and an upstream that leaves alone would wait for that."""
+
 SILENCE_LIMIT = 6_000
 """After this long without any word, in ms, a caller that waits opens its flow anew elsewhere.
 
@@ -50,6 +54,10 @@
 """After this long without an event, in ms, a feed is asked for anew from its position."""
 
 
+AFTER_CLOSE = (messages.Opened, messages.Moved, messages.Closed)
+"""What still counts once a flow is closed: where its home is, and that it has ended."""
+
+
 class Outcome(enum.Enum):
     """How a request ended."""
 
@@ -153,6 +161,8 @@
         self.open_wait = RESEND_FIRST
         self.refusal: messages.OpenRefused | None = None
         self.closed = False
+        self.closes_left = 0
+        self.close_at = 0
         self.reopened = 0
         self.lease_until = now
         self.heartbeat_at = now + HEARTBEAT_MOST
@@ -209,8 +219,22 @@
             self.tick(now)
 
     def close(self) -> None:
-        """End the flow."""
+        """End the flow; what is under way on it gets no final word."""
         self.closed = True
+        self.pending.clear()
+        self.subscriptions.clear()
+        self.closes_left = CLOSE_TRIES
+        self.say_close(self.ticked_at)
+
+    @property
+    def done(self) -> bool:
+        """Whether the flow is closed and there is nothing more to say about it."""
+        return self.closed and not self.closes_left
+
+    def say_close(self, now: int) -> None:
+        """Tell the home, if there is one by now, that the flow has ended."""
+        self.closes_left -= 1
+        self.close_at = now + RESEND_FIRST * (CLOSE_TRIES - self.closes_left)
         if self.token:
             self.send(messages.Close(self.flow, self.service, self.token))
 
@@ -219,6 +243,8 @@
     def tick(self, now: int) -> None:
         """Resend what has waited long enough and end what has run out of time."""
         if self.closed:
+            if self.closes_left and self.close_at <= now:
+                self.say_close(now)
             return
         if not self.token:
             self.tick_open(now)
@@ -370,6 +396,8 @@
         if message.flow != self.flow:
             return
         self.silent_since = now
+        if self.closed and not isinstance(message, AFTER_CLOSE):
+            return
         self.on_message(message, now)
 
     @functools.singledispatchmethod
@@ -568,6 +596,12 @@
         if subscription is not None:
             subscription.resend_at = max(now, message.retry_at)
 
+    @on_message.register
+    def on_closed(self, message: messages.Closed, now: int) -> None:
+        """Say no more; a confirmation for a second home comes while the flow itself is open."""
+        if self.closed:
+            self.closes_left = 0
+
     def reopen(self, now: int) -> None:
         """Open the flow anew after its home was lost, under a new id, and go on.
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -169,3 +169,40 @@
     request = caller.request("reports", b"r", wire.now + 20_000, False, wire.now)
     assert outcome_of(wire, caller, request).outcome is call.Outcome.ANSWERED
     assert caller.flow == flow
+
+
+@pytest.mark.parametrize("lost", ["Close", "Closed"])
+def test_a_close_that_is_lost_is_sent_again(lost):
+    """A caller ends its flow, and the first two copies of that, or of the answer, are lost.
+
+    The home would hold the flow until its lease ends, and with it an upstream that wants to leave.
+    The caller says it again until the home confirms it, then no more.
+    """
+    wire = wires.make_service()
+    caller = wire.add_caller()
+    wire.run(200)
+    seen = []
+
+    def judge(_source, _target, kind):
+        if kind == lost:
+            seen.append(kind)
+        return [] if kind == lost and len(seen) <= 2 else [wires.HOP_MS]
+
+    wire.judge = judge
+    caller.close()
+    wire.run(3_000)
+    assert caller.done
+    assert not any(home.core.flows for home in wire.homes.values())
+    said = len(seen)
+    wire.run(5_000)
+    assert len(seen) == said
+
+
+def test_a_flow_that_is_closed_before_it_is_open_leaves_no_home():
+    """The caller gives up while the answer to its open is under way."""
+    wire = wires.make_service()
+    wire.judge = lambda _s, _t, kind: [50] if kind == "Opened" else [wires.HOP_MS]
+    caller = wire.add_caller()
+    caller.close()
+    wire.run(3_000)
+    assert not any(home.core.flows for home in wire.homes.values())
