--- a/src/ebonystile/core/balancer.py
+++ b/src/ebonystile/core/balancer.py
@@ -9,7 +9,7 @@
 import cbor2
 
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import fairness, ranking, state, view
+from ebonystile.core import fairness, ranking, rng, view
 from ebonystile.peer import messages
 
 RETRY_OPEN = 500
@@ -49,13 +49,13 @@
     """What a balancer knows: its own address towards sidecars, and the view in force."""
 
     address: view.Address
-    randomness: state.Randomness
+    randomness: rng.Rng
     gate: fairness.Gate
     view: "view.View"
 
 
 def make_balancer(
-    address: view.Address, randomness: state.Randomness, gate: fairness.Gate | None = None
+    address: view.Address, randomness: rng.Rng, gate: fairness.Gate | None = None
 ) -> Balancer:
     """Return a balancer that knows no services yet."""
     return Balancer(address, randomness, gate or fairness.Gate(fairness.Bounds()), view.EMPTY)
--- a/src/ebonystile/core/call.py
+++ b/src/ebonystile/core/call.py
@@ -10,7 +10,7 @@
 import functools
 
 from ebonystile.caller import messages
-from ebonystile.core import state, view
+from ebonystile.core import rng, view
 
 RESEND_FIRST = 200
 """Time in ms until the first resend; each later one waits twice as long, up to the limit."""
@@ -149,7 +149,7 @@
 class Call:
     """One flow as its caller sees it."""
 
-    def __init__(self, service: str, randomness: state.Randomness, now: int, deadline: int):
+    def __init__(self, service: str, randomness: rng.Rng, now: int, deadline: int):
         self.service = service
         self.randomness = randomness
         self.flow = randomness.randbytes(messages.ID_BYTES)
--- a/src/ebonystile/core/membership.py
+++ b/src/ebonystile/core/membership.py
@@ -14,7 +14,7 @@
 import math
 import typing
 
-from ebonystile.core import assembly, state, view
+from ebonystile.core import assembly, rng, view
 
 MAX_MEMBERS = 20_000
 """Members remembered at once; beyond it the one longest silent is dropped."""
@@ -301,7 +301,7 @@
 
 
 def pick(
-    names: typing.Sequence[str], count: int, randomness: state.Randomness, banned: set[str]
+    names: typing.Sequence[str], count: int, randomness: rng.Rng, banned: set[str]
 ) -> list[str]:
     """Return up to `count` different names at random, none of them banned."""
     picked: list[str] = []
--- a/src/ebonystile/core/rng.py
+++ b/src/ebonystile/core/rng.py
@@ -17,3 +17,9 @@
 
     def sample(self, population: typing.Sequence, k: int) -> list:
         """Return `k` different items of the population."""
+
+    def randbytes(self, n: int) -> bytes:
+        """Return `n` random bytes."""
+
+    def randrange(self, stop: int) -> int:
+        """Return a whole number from 0 up to but not including `stop`."""
--- a/src/ebonystile/core/sidecar.py
+++ b/src/ebonystile/core/sidecar.py
@@ -18,6 +18,7 @@
     ledger,
     opening,
     requests,
+    rng,
     siblings,
     state,
     view,
@@ -32,7 +33,7 @@
     name: str,
     incarnation: int,
     limits: state.Limits,
-    randomness: state.Randomness,
+    randomness: rng.Rng,
     now: int,
     policy: balance.Policy = balance.DEFAULT,
 ) -> state.State:
--- a/src/ebonystile/core/spread.py
+++ b/src/ebonystile/core/spread.py
@@ -18,8 +18,8 @@
     membership,
     probing,
     pulling,
+    rng,
     spread_state,
-    state,
     store,
     view,
     watching,
@@ -91,7 +91,7 @@
     zone: str,
     seeds: tuple[view.Address, ...],
     limits: spread_state.Limits,
-    randomness: state.Randomness,
+    randomness: rng.Rng,
     now: int,
 ) -> spread_state.Spread:
     """Return the core of a process that starts `now`; it begins to catch up at the first tick."""
--- a/src/ebonystile/core/spread_state.py
+++ b/src/ebonystile/core/spread_state.py
@@ -7,7 +7,7 @@
 import dataclasses
 import typing
 
-from ebonystile.core import budget, configuration, effects, membership, state, view
+from ebonystile.core import budget, configuration, effects, membership, rng, view
 from ebonystile.peer import control
 
 SKEW_BOUND = 1_000
@@ -163,7 +163,7 @@
     membership: membership.Membership
     configuration: configuration.Configuration
     limits: Limits
-    randomness: state.Randomness
+    randomness: rng.Rng
     seeds: tuple[view.Address, ...]
     last_at: int
     started_at: int
--- a/src/ebonystile/core/state.py
+++ b/src/ebonystile/core/state.py
@@ -5,23 +5,12 @@
 """
 
 import dataclasses
-import typing
 
 from ebonystile.caller import messages as caller_messages
 from ebonystile.core import balance, effects, flows, ledger, ranking, rng, view
 from ebonystile.peer import messages
 
 
-class Randomness(rng.Rng, typing.Protocol):
-    """The part of `random.Random` that the cores use; the shell or a test passes it in."""
-
-    def randbytes(self, n: int) -> bytes:
-        """Return `n` random bytes."""
-
-    def randrange(self, stop: int) -> int:
-        """Return a whole number from 0 up to `stop`."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
     """The bounds of one sidecar. Times are in ms, sizes in bytes."""
@@ -70,7 +59,7 @@
         name: str,
         incarnation: int,
         limits: Limits,
-        randomness: Randomness,
+        randomness: rng.Rng,
         now: int,
         policy: balance.Policy = balance.DEFAULT,
     ):
