Cut real ports towards callers and upstreams in process tests

Cause: the small set of faults on real processes lacked cut ports. Change: a relay in the tests that cuts a TCP port; half of the balancers' ports closed to a caller; the way from a sidecar to its upstream cut in the middle of a demand, and healed. Ruled out: cutting the ports between the system's own processes, since what a process says of its own address goes before a relay's in the list; docs/PROMISES.md says so.

--- a/tests/test_processes_faults.py
+++ b/tests/test_processes_faults.py
@@ -1,8 +1,10 @@
 """Kill, stop and cut off real processes; every wait is bounded, the upstreams count each run."""
 
 import concurrent.futures
+import contextlib
 import signal
 import time
+import types
 
 import pytest
 
@@ -10,6 +12,7 @@
 from ebonystile.caller import client
 from ebonystile.core import call
 from standins import system
+from tests import cutter
 
 ZONE = "umea"
 WAIT_S = 30
@@ -202,3 +205,76 @@
         assert result.outcome is call.Outcome.ANSWERED
         assert_truthful(running, demand.request, result)
     assert next_positions(feed, 30) == list(range(first + 1, first + 31))
+
+
+def test_cut_ports_of_balancers_cost_no_flow(running):
+    """Half of the ports that packets are handed to are cut: nothing listens there any more.
+
+    What goes there is lost. Copies take the other ways, so a feed goes on without a gap and a
+    report that must not be repeated runs once and is answered.
+    """
+    cut = [("127.0.0.1", system.free_port()) for _ in running.balancers]
+    half = client.make_caller([*running.addresses(), *cut])
+    with contextlib.closing(half):
+        flow = half.open("ledger", soon())
+        feed = flow.subscribe("balances", 900)
+        future = begin(flow, soon(WAIT_S * 1000))
+        result = future.result(WAIT_S + 5)
+        assert result.outcome is call.Outcome.ANSWERED
+        assert_truthful(running, future.request, result)
+        assert next_positions(feed, 20) == list(range(901, 921))
+        flow.close()
+
+
+@pytest.fixture
+def behind_cutter(children):
+    """Run a ledger of one upstream whose port the sidecar reaches through a cutter."""
+    made = system.System(children)
+    made.publish_services({"ledger": {"app": "ledger"}})
+    upstream = children.start_upstream("ledger-0", "ledger", "--service-ms", 1_000)
+    made.cutter = cutter.Cutter(upstream.port)
+    made.label("ledger-0", {"app": "ledger"})
+    through = types.SimpleNamespace(url=made.cutter.url)
+    sidecar = made.start_sidecar("ledger-0", ZONE, through)
+    sidecar.upstream = upstream
+    made.sidecars = [sidecar]
+    made.start_balancer("entry-0", ZONE)
+    made.caller = client.make_caller(made.addresses)
+    yield made
+    made.caller.close()
+    sidecar.child.kill()
+    made.cutter.cut()
+
+
+def test_cut_port_of_an_upstream_is_told_truthfully(behind_cutter):
+    """The way from a sidecar to its upstream breaks while a demand runs, and comes back later.
+
+    The demand under way ends as unknown at once, since it may run on. One that meets the closed
+    port was never sent, so its caller hears that it was not run. After the cut demands run again,
+    each once.
+    """
+    running = behind_cutter
+    flow = running.caller.open("ledger", soon())
+    under_way = begin(flow, soon(WAIT_S * 1000))
+    where_it_runs(running, under_way.request)
+    running.cutter.cut()
+    assert under_way.result(WAIT_S).outcome is call.Outcome.UNKNOWN
+    refused = begin(flow, soon(WAIT_S * 1000))
+    assert refused.result(WAIT_S).outcome is call.Outcome.NOT_RUN
+    running.cutter.heal()
+    assert_truthful(running, under_way.request, under_way.result())
+    assert_truthful(running, refused.request, refused.result())
+    assert answered_once_healed(running, flow)
+
+
+def answered_once_healed(running, flow):
+    """Send demands until one is answered; the upstream is trusted again only after a check."""
+    give_up = time.monotonic() + WAIT_S
+    while time.monotonic() < give_up:
+        future = begin(flow, soon())
+        result = future.result(WAIT_S)
+        assert_truthful(running, future.request, result)
+        if result.outcome is call.Outcome.ANSWERED:
+            return True
+        time.sleep(clock.seconds_until(result.retry_at))
+    return False
