Open peers' datagrams in one place; refuse ports with many leading zeros; drop dead code

Both shells held the same ten lines that open a datagram from a peer, offer it to the control plane and count a bad one: daemon/inbound.py serves both. Three things that nothing used are gone (State.token_for, control.FIRST_KIND, configuration.parse_address).

--- a/src/ebonystile/core/configuration.py
+++ b/src/ebonystile/core/configuration.py
@@ -106,12 +106,6 @@
         raise errors.SettingsError([fault], step="read document", peer="value") from error
 
 
-def parse_address(text: str) -> view.Address:
-    """Return the IPv4 address and port in `text`; raise ValueError if there is none."""
-    host, _, port = documents.check_address(text).rpartition(":")
-    return (host, int(port))
-
-
 def values_delta(
     after: int, revision: int, values: typing.Iterable[tuple[str, int, typing.Any]]
 ) -> store.Delta:
--- a/src/ebonystile/core/state.py
+++ b/src/ebonystile/core/state.py
@@ -128,10 +128,6 @@
         """Answer the caller of a flow where it was last heard from."""
         self.reply(flow.caller, flow.via, message)
 
-    def token_for(self, service: str) -> bytes:
-        """Return the token that names this home."""
-        return view.Token(self.key, self.incarnation, view.key_of(service)).pack()
-
     def siblings(self, service: str) -> list[view.Endpoint]:
         """Return the other upstreams of the service that take new work."""
         known = self.view.services.get(service)
--- a/src/ebonystile/daemon/balancer.py
+++ b/src/ebonystile/daemon/balancer.py
@@ -4,9 +4,9 @@
 import random
 import secrets
 
-from ebonystile import clock, errors, logs, loop, settings
+from ebonystile import clock, logs, loop, settings
 from ebonystile.core import balancer, view
-from ebonystile.daemon import answers, control, guard, reporting, server, tuning
+from ebonystile.daemon import answers, control, guard, inbound, reporting, server, tuning
 from ebonystile.peer import messages, seal
 
 QUIET_MS = 1_000
@@ -108,15 +108,7 @@
 
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Relay a sidecar's answer to its caller."""
-        try:
-            opened = self.seal.open(data)
-            if self.control.on_opened(opened, source):
-                return
-            message = messages.unpack(opened.content)
-        except errors.DatagramError as error:
-            self.counts["dropped_sealed"] += 1
-            logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
-            return
+        message = inbound.packet_of(data, source, self.seal, self.control, self.counts)
         if type(message) is messages.Return:
             loop.send(self.callers, message.payload, message.caller)
             self.counts["returned"] += 1
--- a/src/ebonystile/daemon/sidecar.py
+++ b/src/ebonystile/daemon/sidecar.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock, errors, logs, loop, settings
 from ebonystile.core import effects, events, siblings, sidecar, state, view
-from ebonystile.daemon import answers, control, guard, reporting, server, tuning
+from ebonystile.daemon import answers, control, guard, inbound, reporting, server, tuning
 from ebonystile.peer import bulk, messages, seal, transfer
 from ebonystile.upstream import client
 
@@ -118,15 +118,7 @@
 
     def on_peer(self, data: bytes, source: view.Address) -> None:
         """Take a datagram from a balancer or another sidecar."""
-        try:
-            opened = self.seal.open(data)
-            if self.control_plane.on_opened(opened, source):
-                return
-            message = messages.unpack(opened.content)
-        except errors.DatagramError as error:
-            self.counts["dropped_sealed"] += 1
-            logs.event("datagram_dropped", level="DEBUG", source=source[0], error=str(error))
-            return
+        message = inbound.packet_of(data, source, self.seal, self.control_plane, self.counts)
         if type(message) is messages.Forward:
             self.take(events.Arrived(message))
         elif type(message) is messages.LoadReport:
--- a/src/ebonystile/peer/control.py
+++ b/src/ebonystile/peer/control.py
@@ -98,7 +98,6 @@
 
 CONTROL = codec.Codec("control", typing.get_args(Message))
 
-FIRST_KIND = min(CONTROL.by_kind)
 
 PackedInstance = tuple[str, Address, str, bool]
 PackedDelta = tuple[int, int, int, tuple[str, ...] | None]
--- a/src/ebonystile/settings.py
+++ b/src/ebonystile/settings.py
@@ -34,7 +34,7 @@
         ipaddress.IPv4Address(host)
     except ValueError as error:
         raise ValueError(f'"{host}" is not an IPv4 number') from error
-    if not (port.isascii() and port.isdecimal() and 0 < int(port[:6]) < 65_536):
+    if not (port.isascii() and port.isdecimal() and len(port) <= 5 and 0 < int(port) < 65_536):
         raise ValueError(f'"{port}" is not a port from 1 to 65535')
     return host, int(port)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -58,6 +58,7 @@
         ({"address": "localhost:7001"}, 'address: "localhost" is not an IPv4 number'),
         ({"address": "127.0.0.1:0"}, 'address: "0" is not a port'),
         ({"address": "127.0.0.1:99999"}, 'address: "99999" is not a port'),
+        ({"address": "127.0.0.1:0000800000"}, 'address: "0000800000" is not a port'),
         ({"address": 7}, 'address: give it as "ip:port"'),
         ({"listen": "127.0.0.1:7001"}, "listen: must differ from address"),
         ({"platform": "https://127.0.0.1:1"}, 'platform: give it as "http://ip:port"'),
