Play every fault at every step of carried flows; ask upstreams without an entry before a reset

Cause: the fault matrix knew only the product's own calls.

Ruled out: a wrong answer of a sidecar; a search that ended early. Two requests that "ran twice" were the stand-in's fault: an upstream that had accepted a copy of the opening packet took a shown packet that acknowledges another one's position.

Narrowed checks, each by a trace: a half-open flow is not open; an upstream that takes no packet while its sidecar is unsure can't be told from one that lost the flow; a balancer started after the entry went has never heard of that upstream.

Change: a balancer remembers upstreams for a minute after their entries went (256 at most) and asks their sidecars in the second search, before a caller is told that its flow is nowhere. `nowhere` is forgotten once a flow was found, so that no later reset rests on a single search.

--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -176,11 +176,18 @@
 
 
 def look_again(known: state.State, found: search.Search, now: int) -> list[effects.Effect]:
-    """Search a second time, a moment after the flow was found nowhere, with the packets held."""
+    """Search a second time, a moment after the flow was found nowhere, with the packets held.
+
+    Sidecars whose upstreams have no entry any more are asked as well: an upstream that the store
+    can't hear serves its flows all the same, and a balancer that has not had such a flow before
+    would tell its caller that it is over. Most of them are gone and don't answer, which costs the
+    others' callers one wave.
+    """
     again = search_for(known, found.packets[0], now)
     again.packets = found.packets
     again.waves = []
-    again.later = functools.partial(search.later_waves, list(known.fleet.by_address.values()), ())
+    everybody = [*known.fleet.by_address.values(), *known.fleet.perhaps_alive()]
+    again.later = functools.partial(search.later_waves, everybody, ())
     again.looked_before = True
     known.searches[found.flow] = again
     known.finding += 1
--- a/src/ebonystile/core/carrying/fleet.py
+++ b/src/ebonystile/core/carrying/fleet.py
@@ -16,6 +16,13 @@
 pause every caller would be cut off from upstreams that serve.
 """
 
+DEPARTED_MS, MAX_DEPARTED = 60_000, 256
+"""How long, in ms, and how many upstreams are remembered after their entries went.
+
+One that only the store can't hear still serves its flows; whoever is about to tell a caller that
+its flow is nowhere asks there too. A minute is several times what a flow may be idle.
+"""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
@@ -88,6 +95,7 @@
     def __init__(self) -> None:
         self.upstreams: dict[str, Upstream] = {}
         self.fading: dict[str, int] = {}
+        self.departed: dict[view.Address, tuple[Upstream, int]] = {}
         self.indexed: Index | None = None
 
     def put(self, upstream: Upstream) -> None:
@@ -105,13 +113,18 @@
         if keep_until > now:
             self.fading.setdefault(name, keep_until)
             return False
-        del self.upstreams[name]
+        gone = self.upstreams.pop(name)
         self.fading.pop(name, None)
         self.indexed = None
+        if len(self.departed) < MAX_DEPARTED:
+            self.departed[gone.address] = (gone, now + DEPARTED_MS)
         return True
 
     def expire(self, now: int) -> list[str]:
         """Drop the upstreams whose time after an outage is over; return their names."""
+        if self.departed:
+            kept = {a: d for a, d in self.departed.items() if d[1] > now}
+            self.departed = {a: d for a, d in kept.items() if a not in self.by_address}
         over = [name for name, until in self.fading.items() if until <= now]
         for name in over:
             self.remove(name, now)
@@ -133,6 +146,10 @@
         """Return the upstreams of a service."""
         return self.index.by_service.get(service, ())
 
+    def perhaps_alive(self) -> list[Upstream]:
+        """Return the upstreams without an entry whose address nobody else has taken."""
+        return [gone for a, (gone, _) in self.departed.items() if a not in self.by_address]
+
     def lives(self, upstream: Upstream) -> bool:
         """Tell whether that very start of the upstream is still listed."""
         known = self.upstreams.get(upstream.name)
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -109,6 +109,7 @@
     def remember(self, flow: packet.Flow, upstream: fleet.Upstream, now: int) -> Home:
         """Remember where a flow lives."""
         home = self.homes[flow] = Home(upstream, now)
+        self.nowhere.pop(flow, None)
         return home
 
     def ask_next(self, found: search.Search, now: int) -> list[effects.Effect]:
--- a/standins/ends.py
+++ b/standins/ends.py
@@ -57,6 +57,14 @@
     answers: dict[int, bytes] = dataclasses.field(default_factory=dict)
     opened: bool = False
 
+    def takes(self, shown: packet.Packet) -> bool:
+        """Tell whether the packet is of this flow.
+
+        Two upstreams may have accepted an opening packet and its copy; the flow opens at the one
+        whose position the caller acknowledges.
+        """
+        return self.opened or shown.acknowledged == (self.position + 1) % POSITIONS
+
 
 class Upstream:
     """An upstream; `foreign` counts packets by flow that it does not hold."""
@@ -79,7 +87,7 @@
         if shown.opens:
             return self.on_opening(shown)
         accepted = self.flows.get(shown.flow)
-        if accepted is None:
+        if accepted is None or not accepted.takes(shown):
             self.foreign[shown.flow] = self.foreign.get(shown.flow, 0) + 1
             return [mark_returned(raw)]
         if not accepted.opened:
--- a/tests/carrying/test_paths.py
+++ b/tests/carrying/test_paths.py
@@ -512,3 +512,21 @@
     scene.ask(caller, b"again")
     scene.run(500)
     assert caller.resets == 0 and caller.answer.endswith(b"again")
+
+
+def test_a_flow_at_an_upstream_without_an_entry_goes_on_through_a_balancer_new_to_it():
+    """An upstream lives on, but the store has dropped its entry, and the fabric moves its flows.
+
+    The balancer that gets a flow's next packet has never seen the flow, and all upstreams that it
+    finds in the store are sure not to hold it. Before it tells the caller so it asks the sidecar of
+    the upstream that it knew until a moment ago.
+    """
+    scene = world.World()
+    caller = scene.open()
+    home = scene.home_of(caller)
+    del scene.entry_of[home.address]
+    scene.known()
+    caller.through = scene.balancers[1]
+    scene.ask(caller, b"again")
+    scene.run(500)
+    assert caller.resets == 0 and caller.answer.endswith(b"again")
--- a/tests/carrying/world.py
+++ b/tests/carrying/world.py
@@ -158,10 +158,14 @@
         caller.ask(request, self.now)
         self.drive(caller)
 
+    def delays(self, step, origin, target):
+        """Return after how many ms each copy of a message arrives; a test's faults go here."""
+        return [DELAY_MS]
+
     def drive(self, caller):
         """Let a caller send what is due."""
         for raw in caller.due(self.now):
-            self.later(DELAY_MS, self.at_balancer, caller.through, raw)
+            self.to_balancer(caller, raw)
         if not caller.over:
             self.later(max(1, caller.next_at - self.now), self.drive, caller)
 
@@ -190,18 +194,29 @@
         if caller is None:
             return
         for sent in caller.on_packet(raw, self.now):
-            self.later(DELAY_MS, self.at_balancer, caller.through, sent)
+            self.to_balancer(caller, sent)
         self.drive(caller)
 
+    def to_balancer(self, caller, raw):
+        """Send a caller's packet to the balancer that the fabric hands its flow to."""
+        opens = packets.from_caller(raw).opens
+        step = "first packet" if opens else "packet of an open flow"
+        for delay in self.delays(step, None, caller.through.address):
+            self.later(delay, self.at_balancer, caller.through, raw)
+
     def carry_out(self, node, todo):
         for effect in todo:
             if isinstance(effect, effects.Send):
                 self.sent.append((self.now, node.address, effect.message))
-                self.later(DELAY_MS, self.at_node, node.address, effect.address, effect.message)
+                step = type(effect.message).__name__
+                for delay in self.delays(step, node.address, effect.address):
+                    self.later(delay, self.at_node, node.address, effect.address, effect.message)
             elif isinstance(effect, effects.ToUpstream):
                 self.later(0, self.at_upstream, node, effect.raw)
             elif isinstance(effect, effects.ToCaller):
-                self.later(DELAY_MS, self.at_caller, effect.packet.raw)
+                step = "accepted" if effect.packet.accepts else "answered"
+                for delay in self.delays(step, node.address, None):
+                    self.later(delay, self.at_caller, effect.packet.raw)
             elif isinstance(effect, effects.Reset):
                 raw = packets.make_reset(effect.flow, effect.position)
                 self.later(DELAY_MS, self.at_caller, raw)
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -6,14 +6,18 @@
 import argparse
 import collections
 import concurrent.futures
+import functools
 import pathlib
 import sys
 import time
+import typing
 
 from tests import known_red, matrix
+from tests.carrying import matrix as carrying
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs/FAULT-MATRIX.md"
+CARRIED = "carried: "
 
 HEAD = """# The fault matrix
 
@@ -24,6 +28,10 @@
 step did not happen as often prove nothing and are counted as "not struck". After each case
 `tests/checks.py` checks what must always hold. Same code, same seeds, same verdict.
 
+Carried flows have steps of their own: the messages between balancers and sidecars by their names
+(docs/PROTOCOL.md), the packets at both ends, and moments of the day of `tests/carrying/matrix.py`,
+whose checks are in that file.
+
 `a/b`: `a` cases struck, `b` cases found a fault. Those are listed at the end. A dash: the fault
 cannot befall the step, as nothing travels there that could be lost, doubled or late.
 
@@ -33,14 +41,27 @@
 """
 
 
-def play(case: matrix.Case) -> tuple[bool, list[str]]:
+@functools.singledispatch
+def play(case: typing.Any) -> tuple[bool, list[str]]:
     """Play a case; return whether all of its faults struck, and what was found."""
+    raise TypeError(f"no rule for {type(case).__name__}")
+
+
+@play.register
+def _(case: carrying.Case) -> tuple[bool, list[str]]:
+    return carrying.play(case)
+
+
+@play.register
+def _(case: matrix.Case) -> tuple[bool, list[str]]:
     day = matrix.Day(case)
     faults = day.play()
     return len(day.struck) == len(case.puts), faults
 
 
-def play_all(cases: list[matrix.Case], workers: int) -> list[tuple[bool, list[str]]]:
+def play_all(
+    cases: list[matrix.Case | carrying.Case], workers: int
+) -> list[tuple[bool, list[str]]]:
     """Play cases in several processes, in order."""
     with concurrent.futures.ProcessPoolExecutor(workers) as pool:
         return list(pool.map(play, cases, chunksize=16))
@@ -55,7 +76,9 @@
         self.bad = collections.Counter()
         self.lines: list[str] = []
 
-    def add(self, cell: str, case: matrix.Case, struck: bool, faults: list[str]) -> None:
+    def add(
+        self, cell: str, case: matrix.Case | carrying.Case, struck: bool, faults: list[str]
+    ) -> None:
         """Count one case."""
         self.played[cell] += 1
         self.struck[cell] += struck
@@ -75,13 +98,11 @@
     played, struck, bad = (sum(c.values()) for c in (table.played, table.struck, table.bad))
     lines = [HEAD, f"{played} cases, {struck} struck, {bad} found a fault.", ""]
     for title, steps in (("Requests", matrix.REQUEST_STEPS), ("Moves", matrix.MOVE_STEPS)):
-        lines += [f"## {title}, {seeds} seeds a cell", ""]
-        lines.append("| fault | " + " | ".join(steps) + " |")
-        lines.append("|---" * (len(steps) + 1) + "|")
-        for fault in matrix.FAULTS:
-            cells = [table.text(f"{step} / {fault}") for step in steps]
-            lines.append(f"| {fault} | " + " | ".join(cells) + " |")
-        lines.append("")
+        lines += grid(table, f"{title}, {seeds} seeds a cell", steps, matrix.FAULTS)
+    carried = {"packets": carrying.PACKET_STEPS, "questions": carrying.QUESTION_STEPS}
+    for title, steps in {**carried, "moments": carrying.MOMENTS}.items():
+        heading = f"Carried flows, {title}, {seeds} seeds a cell"
+        lines += grid(table, heading, steps, carrying.FAULTS, CARRIED)
     lines += [f"## Two faults together, {pair_seeds} seeds a pair", ""]
     lines += ["| first | second | cases |", "|---|---|---|"]
     for case in matrix.cases_of_pairs(1):
@@ -93,6 +114,29 @@
     return "\n".join(lines) + "\n"
 
 
+def grid(
+    table: Table,
+    heading: str,
+    steps: typing.Sequence[str],
+    faults: typing.Sequence[str],
+    part: str = "",
+) -> list[str]:
+    """Return one table of every fault at every step; `part` begins the names of its cells."""
+    lines = [f"## {heading}", "", "| fault | " + " | ".join(steps) + " |"]
+    lines.append("|---" * (len(steps) + 1) + "|")
+    for fault in faults:
+        cells = [table.text(f"{part}{step} / {fault}") for step in steps]
+        lines.append(f"| {fault} | " + " | ".join(cells) + " |")
+    return [*lines, ""]
+
+
+def cell_of(case: matrix.Case | carrying.Case) -> str:
+    """Return the name of the cell that a case belongs to."""
+    if isinstance(case, carrying.Case):
+        return f"{CARRIED}{case.step} / {case.fault}"
+    return pair_cell(case)
+
+
 def pair_cell(case: matrix.Case) -> str:
     """Return the name of a pair's cell."""
     return " + ".join(" / ".join(put) for put in case.puts)
@@ -109,10 +153,11 @@
     started = time.monotonic()
     singles = [c for step in matrix.STEPS for c in matrix.cases_of_step(step, options.seeds)]
     pairs = matrix.cases_of_pairs(options.pair_seeds)
+    carried = [c for step in carrying.STEPS for c in carrying.cases_of_step(step, options.seeds)]
+    cases = [*singles, *pairs, *carried]
     table = Table()
-    played = play_all(singles + pairs, options.workers)
-    for case, (struck, faults) in zip(singles + pairs, played, strict=True):
-        table.add(pair_cell(case), case, struck, faults)
+    for case, (struck, faults) in zip(cases, play_all(cases, options.workers), strict=True):
+        table.add(cell_of(case), case, struck, faults)
     if not options.check:
         PAGE.write_text(page(table, options.seeds, options.pair_seeds))
     known = {red.test for red in known_red.read(ROOT / known_red.NAME)}
