--- a/src/ebonystile/core/carrying/sourcing.py
+++ b/src/ebonystile/core/carrying/sourcing.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 
 import xxhash
 
@@ -15,7 +16,16 @@
 from ebonystile.core.carrying import fleet
 
 WATCHERS = 2
-"""Sidecars of each availability zone that watch the store."""
+"""Least number of sidecars of each availability zone that watch the store."""
+
+SIDECARS_EACH = 50
+"""Sidecars of a zone for each watcher, where they are more than 100.
+
+A relay holds a connection for each reader and sends it every change. With two watchers whatever the
+size, the busiest of 300 instances had 263 connections and sent 223 kB/s; its server drops the
+oldest connection beyond 256, so that with some 700 instances readers would have pushed one another
+out again and again. 50 leave room for the readers of relays that have failed.
+"""
 
 RELAY_BAD_MS = 2_000
 """How long a relay that failed is passed over, in ms."""
@@ -49,7 +59,7 @@
         for upstream in known.by_address.values():
             by_zone.setdefault(upstream.zone, []).append(upstream)
         watching = {
-            zone: [u.address for u in sorted(members, key=place)[:WATCHERS]]
+            zone: [u.address for u in sorted(members, key=place)[: watchers(len(members))]]
             for zone, members in by_zone.items()
         }
         near = watching.get(self.zone, [])
@@ -94,6 +104,11 @@
         self.bad_until.pop(source, None)
 
 
+def watchers(sidecars: int) -> int:
+    """Return how many of a zone's sidecars watch the store."""
+    return max(WATCHERS, math.ceil(sidecars / SIDECARS_EACH))
+
+
 def place(upstream: fleet.Upstream) -> tuple[int, int]:
     """Return the order in which the sidecars of a zone watch the store, those leaving last."""
     return (upstream.leaving, upstream.key)
--- a/tests/carrying/test_sourcing.py
+++ b/tests/carrying/test_sourcing.py
@@ -1,5 +1,8 @@
 """Who watches the store, and where everybody else reads when a source fails."""
 
+import collections
+
+from ebonystile.carrier import pages
 from ebonystile.core.carrying import fleet, sourcing
 
 
@@ -7,7 +10,7 @@
     known = fleet.Fleet()
     for place, zone in enumerate(zones):
         for number in range(each):
-            address = (f"10.{place}.0.{number}", 7720)
+            address = (f"10.{place}.{number // 250}.{number % 250}", 7720)
             name = f"{zone}{number}"
             known.put(fleet.make_upstream(name, 1, "s", address, zone, 2))
     return known
@@ -76,3 +79,17 @@
     gone = next(u for u in known.upstreams.values() if u.address == before[0])
     known.put(fleet.make_upstream(gone.name, 1, "s", gone.address, "a", 2, leaving=True))
     assert before[0] not in sources_of(known, ("10.9.0.1", 1)).relays
+
+
+def test_relays_grow_with_their_zone_so_that_none_must_drop_readers():
+    """A zone of 400 sidecars: each relay has some 40 to 90 of them as readers, few hold them all.
+
+    A relay's server drops the oldest connection beyond its limit; with too few relays, readers
+    would push one another out for ever.
+    """
+    known = make_fleet(zones=("a",), each=400)
+    everyone = [sources_of(known, u.address) for u in known.upstreams.values()]
+    assert sum(s.is_watcher for s in everyone) == 400 // sourcing.SIDECARS_EACH
+    readers = collections.Counter(s.choose(True, 0) for s in everyone if not s.is_watcher)
+    assert max(readers.values()) < 2 * sourcing.SIDECARS_EACH
+    assert max(readers.values()) < pages.MAX_CONNECTIONS / 2
