Tests and safeguards of upstreams remembered without an entry

Three more safeguards for scripts/mutants carrying: asking upstreams without an entry before a reset, forgetting that a flow was nowhere once it is found, relays that grow with their zone.

--- a/tests/carrying/test_paths.py
+++ b/tests/carrying/test_paths.py
@@ -530,3 +530,27 @@
     scene.ask(caller, b"again")
     scene.run(500)
     assert caller.resets == 0 and caller.answer.endswith(b"again")
+
+
+def test_a_flow_that_was_found_again_needs_two_searches_once_more_before_a_reset():
+    """A flow was found nowhere, then found. Much later one search finds it nowhere.
+
+    Its upstream has no entry just then. Were the first search still counted, the caller would be
+    told after a single one, before those without an entry are asked.
+    """
+    scene = world.World()
+    caller = scene.open()
+    home = scene.home_of(caller)
+    entry = scene.entry_of.pop(home.address)
+    scene.known()
+    caller.through = scene.balancers[1]
+    scene.ask(caller, b"again")
+    scene.run(500)
+    scene.entry_of[home.address] = entry
+    scene.known()
+    del scene.balancers[1].core.homes[caller.flow]
+    del scene.entry_of[home.address]
+    scene.known()
+    scene.ask(caller, b"third")
+    scene.run(500)
+    assert caller.resets == 0 and caller.answer.endswith(b"third")
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -21,6 +21,7 @@
     "tests/carrying/test_reading.py",
     "tests/carrying/test_sourcing.py",
     "tests/carrying/test_placing.py",
+    "tests/carrying/test_fleet.py",
 )
 """The tests that must notice, the quickest first: of the product's calls and of carried flows."""
 
@@ -479,5 +480,23 @@
         "EQUAL_WORK = 0.05",
         "EQUAL_WORK = -1.0",
     ),
+    Mutation(
+        "upstreams without an entry asked before a reset",
+        CORE + "carrying/finding.py",
+        "everybody = [*known.fleet.by_address.values(), *known.fleet.perhaps_alive()]",
+        "everybody = [*known.fleet.by_address.values()]",
+    ),
+    Mutation(
+        "finding forgets that a flow was nowhere",
+        CORE + "carrying/state.py",
+        "        self.nowhere.pop(flow, None)\n",
+        "",
+    ),
+    Mutation(
+        "relays grow with their zone",
+        CORE + "carrying/sourcing.py",
+        "return max(WATCHERS, math.ceil(sidecars / SIDECARS_EACH))",
+        "return WATCHERS",
+    ),
 )
 """Every safeguard that has a proof; docs/PROMISES.md tells which promise each serves."""
