--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -28,8 +28,12 @@
         address = entries.address_of(settings.packets)
         self.callers = self.loop.listen(address, self.on_caller, shell.BUFFER_BYTES)
         self.caller_port = address[1]
-        self.metrics.gauge("homes", "Flows whose home is known.", lambda: len(self.core.homes))
-        self.metrics.gauge("searches", "Searches under way.", lambda: len(self.core.searches))
+        self.report.metrics.gauge(
+            "homes", "Flows whose home is known.", lambda: len(self.core.homes)
+        )
+        self.report.metrics.gauge(
+            "searches", "Searches under way.", lambda: len(self.core.searches)
+        )
         self.alarm_at: int | None = None
         self.caller_at = clock.now()
 
--- a/src/ebonystile/carrier/shell.py
+++ b/src/ebonystile/carrier/shell.py
@@ -6,8 +6,8 @@
 import time
 from collections import abc
 
-from ebonystile import clock, errors, loop, metrics
-from ebonystile.carrier import feed, journal, pages
+from ebonystile import clock, errors, loop
+from ebonystile.carrier import feed, journal, pages, report
 from ebonystile.core import view
 from ebonystile.core.carrying import effects, messages, packet
 from ebonystile.peer import carrying
@@ -31,9 +31,6 @@
 """
 
 
-METRICS_PATH = "/metrics"
-
-
 def suspended_ns() -> int:
     """Return for how long the instance has been suspended since it started, in ns."""
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) - time.monotonic_ns()
@@ -50,8 +47,9 @@
         self.feed = feed.Feed(self.loop, settings, self.log, self.on_view)
         self.peers = self.loop.listen(settings.internal, self.on_datagram, BUFFER_BYTES)
         self.pages = pages.Server(self.loop, entries.address_of(settings.ready), self.on_request)
-        self.metrics = self.make_metrics()
-        self.serve_metrics()
+        self.report = report.Report(self.loop, self.log, self.counts, self.feed)
+        if settings.metrics:
+            self.report.serve(settings.metrics)
         self.leaving_since: int | None = None
         self.last_tick = clock.now()
         self.suspended = suspended_ns()
@@ -72,42 +70,6 @@
             raise
         self.log.event("stop", **self.counts, **self.feed.counts)
 
-    def make_metrics(self) -> metrics.Metrics:
-        """Return what both programs count; each adds its own."""
-        held = metrics.make_metrics()
-        held.tally("events", "Events by their names.", self.counts, "event")
-        held.tally(
-            "readings", "Answers and failures of the store and relays.", self.feed.counts, "outcome"
-        )
-        held.tally("log_lines_left_out", "Lines not logged.", self.log.left_out, "event")
-        held.gauge("view_fresh", "1 while the view is known to be new.", self.feed.is_fresh)
-        held.gauge("configuration", "Version of the configuration.", self.feed.version)
-        held.gauge("upstreams", "Upstreams listed.", lambda: len(self.feed.fleet.upstreams))
-        return held
-
-    def serve_metrics(self) -> None:
-        """Serve the metrics; without their address the process carries flows all the same."""
-        if not self.settings.metrics:
-            return
-        try:
-            pages.Server(self.loop, entries.address_of(self.settings.metrics), self.on_scrape)
-        except errors.PeerError as error:
-            self.log.event("metrics_not_served", reason=str(error))
-
-    def on_scrape(self, connection: pages.Connection, target: str) -> None:
-        """Answer a request at the metrics address."""
-        if target.partition("?")[0] != METRICS_PATH:
-            connection.answer(pages.Page(404))
-        else:
-            connection.answer(pages.Page(200, self.metrics.text(), metrics.TEXT_KIND))
-
-    def note_search(self, outcome: str, searched_ms: int) -> None:
-        """Count how long a search for a flow's upstream took."""
-        latency = self.metrics.latency(
-            "search_seconds", "Time of a search for a flow's upstream.", outcome=outcome
-        )
-        latency.record(self.loop.now, searched_ms)
-
     def on_request(self, connection: pages.Connection, target: str) -> None:
         """Answer a request at the readiness address."""
         if target.partition("?")[0] != node.READY_PATH:
@@ -226,7 +188,7 @@
     fields = dict(effect.fields)
     shell.counts[effect.event] += 1
     if "searched_ms" in fields:
-        shell.note_search(effect.event, fields["searched_ms"])
+        shell.report.note_search(effect.event, fields["searched_ms"])
     shell.log.event(effect.event, **fields)
 
 
--- a/src/ebonystile/carrier/sidecar.py
+++ b/src/ebonystile/carrier/sidecar.py
@@ -24,14 +24,16 @@
             entries.address_of(settings.from_upstream), self.on_upstream, shell.BUFFER_BYTES
         )
         table = self.core.table
-        self.metrics.gauge("flows", "Flows known.", lambda: len(table.flows))
-        self.metrics.gauge("running", "Requests that run.", lambda: table.running(self.loop.now))
-        self.metrics.gauge(
+        self.report.metrics.gauge("flows", "Flows known.", lambda: len(table.flows))
+        self.report.metrics.gauge(
+            "running", "Requests that run.", lambda: table.running(self.loop.now)
+        )
+        self.report.metrics.gauge(
             "good",
             "Share of requests answered of late.",
             lambda: table.results.good_at(self.loop.now),
         )
-        answers = self.metrics.latency(
+        answers = self.report.metrics.latency(
             "run_seconds", "Time from a request's last packet to its answer's first."
         )
         table.results.on_answer = answers.record
--- a/tests/carrier/test_processes.py
+++ b/tests/carrier/test_processes.py
@@ -57,11 +57,11 @@
     """A caller's flow opens and is answered; both daemons on its path have counted that."""
     caller = running.caller(running.balancers[0])
     running.answered(caller)
+    running.wait(lambda: running.metrics(running.balancers[0])["ebonystile_view_fresh"] == 1)
     at_balancer = running.metrics(running.balancers[0])
     assert at_balancer['ebonystile_events_total{event="opened"}'] == 1
     assert at_balancer['ebonystile_search_seconds_count{outcome="opened"}'] == 1
     assert at_balancer["ebonystile_upstreams"] == len(running.sidecars)
-    assert at_balancer["ebonystile_view_fresh"] == 1
     assert sum(v for k, v in at_balancer.items() if k.startswith("ebonystile_readings")) >= 2
     at_sidecars = [running.metrics(machine) for machine in running.sidecars]
     assert sum(found["ebonystile_run_seconds_count"] for found in at_sidecars) == 1
