--- a/tests/carrying/matrix.py
+++ b/tests/carrying/matrix.py
@@ -5,21 +5,18 @@
 """
 
 import dataclasses
-import functools
 import random
 import typing
 
 from ebonystile.core.carrying import balancer, routes
 from ebonystile.platform import packets
-from tests.carrying import world
+from tests.carrying import faults, world
 
 PHOTOS_ROUTE = ("198.18.0.2", 443)
 ACTIVE_MS = 4_000
 HEALED_MS = 6_000
 """After the last fault: longer than any caller waits for a flow that is gone, copies included."""
 
-OUTAGE_MS = 1_500
-LONG_MS = 2_500
 CALLERS = 18
 PAUSE_MS = 180
 """Between a caller's answer and its next request."""
@@ -70,7 +67,7 @@
         self.healed = False
         self.lossy = (None, None)
         self.lossy_until = 0
-        self.faults: list[str] = []
+        self.found: list[str] = []
         self.ports = iter(range(42_000, 60_000))
         self.living: list[world.ends.Caller] = []
         self.homes: dict[bytes, tuple[world.Node, typing.Any]] = {}
@@ -91,7 +88,7 @@
     # The day
 
     def play(self) -> list[str]:
-        """Play the day and return the faults found."""
+        """Play the day and return what was found."""
         for number in range(CALLERS):
             self.later(60 * number, self.begin, number)
         leaver = self.sidecars[1]
@@ -111,7 +108,7 @@
         self.run(HEALED_MS)
         self.check_served()
         self.check_forgotten()
-        return self.faults
+        return self.found
 
     def begin(self, number: int) -> None:
         """Open a flow of one caller; every fifth one sends photos."""
@@ -234,10 +231,10 @@
             return []
         if step != self.case.step or not self.due():
             return usual
-        if self.case.fault in MESSAGE_FAULTS:
+        if self.case.fault in faults.MESSAGE_FAULTS:
             if self.case.fault == "loss for long":
-                self.lossy, self.lossy_until = (origin, target), self.now + OUTAGE_MS
-            return MESSAGE_FAULTS[self.case.fault]
+                self.lossy, self.lossy_until = (origin, target), self.now + faults.OUTAGE_MS
+            return faults.MESSAGE_FAULTS[self.case.fault]
         node = self.nodes.get(target) or self.nodes.get(origin) or self.sidecars[0]
         self.later(0, self.strike, node)
         return usual
@@ -252,7 +249,7 @@
 
     def strike(self, node: world.Node) -> None:
         """Bring the fault about at a process; a message fault needs a message."""
-        PROCESS_FAULTS[self.case.fault](self, node)
+        faults.PROCESS_FAULTS[self.case.fault](self, node)
 
     def sidecar_near(self, node: world.Node) -> world.Node:
         """Return the node if it is a sidecar, else one of its zone."""
@@ -311,14 +308,14 @@
         _, end = world.ends.ends(shown.flow)
         allowed = self.allowed[world.ROUTE if end == MAIN_END else PHOTOS_ROUTE]
         if service not in allowed:
-            self.faults.append(f"a flow for {sorted(allowed)} opened at {service}")
+            self.found.append(f"a flow for {sorted(allowed)} opened at {service}")
         elif node.core.current.routes.version == self.newest[0] and (
             route is None or service not in route.services
         ):
-            self.faults.append("a flow opened against the newest configuration, which was known")
+            self.found.append("a flow opened against the newest configuration, which was known")
         own = node.core.own
         if own is not None and own.leaving:
-            self.faults.append("a flow opened at an upstream that its sidecar knows to be leaving")
+            self.found.append("a flow opened at an upstream that its sidecar knows to be leaving")
 
     def service_of(self, node) -> str:
         """Return the service of the upstream that really runs at the node."""
@@ -328,7 +325,7 @@
         """Check that a request has run nowhere else."""
         first = self.ran.setdefault(request, node.upstream.name)
         if first != node.upstream.name:
-            self.faults.append(f"{request!r} ran at {first} and at {node.upstream.name}")
+            self.found.append(f"{request!r} ran at {first} and at {node.upstream.name}")
 
     def note_stray(self, node, flow) -> None:
         """Check that a flow's packets do not go to several other upstreams and not to its own."""
@@ -348,7 +345,7 @@
         """Note a moved flow, if its own upstream was not shown the packet at the same time."""
         others = {name for _, name in self.strayed.get(flow, [])}
         if self.now - self.reached_at.get(flow, 0) >= MOVED_MS:
-            self.faults.append(f"a flow's packets went to {len(others)} others, not to its home")
+            self.found.append(f"a flow's packets went to {len(others)} others, not to its home")
 
     def holds(self, node, accepted, flow) -> bool:
         """Tell whether the upstream still holds what it accepted."""
@@ -385,7 +382,7 @@
         if caller.through.core.view_since > self.lost_at.get(node.address, self.now):
             return
         if self.holds(node, accepted, caller.flow):
-            self.faults.append(f"reset although {node.upstream.name} holds the flow")
+            self.found.append(f"reset although {node.upstream.name} holds the flow")
 
     # At the end
 
@@ -393,12 +390,12 @@
         """Once all faults are over, every caller is answered and new flows open."""
         for caller in self.living:
             if caller.waiting is not None and self.now - caller.asked_at > HEALED_MS // 2:
-                self.faults.append(f"healed, but flow {caller.number} stays silent")
+                self.found.append(f"healed, but flow {caller.number} stays silent")
         for place, node in enumerate(self.balancers):
             late = self.caller(61_000 + place, through=node)
             self.run(300)
             if not late.open:
-                self.faults.append("healed, but a new flow does not open")
+                self.found.append("healed, but a new flow does not open")
 
     def check_forgotten(self) -> None:
         """Once callers are gone, nothing of their flows is kept."""
@@ -410,241 +407,20 @@
         for node in self.balancers:
             core = node.core
             if core.searches or core.queued or core.homes or core.finding:
-                self.faults.append("a balancer keeps something of flows that are over")
+                self.found.append("a balancer keeps something of flows that are over")
         for node in self.sidecars:
             if node.alive and (node.core.table.flows or node.core.shown):
-                self.faults.append("a sidecar keeps something of flows that are over")
+                self.found.append("a sidecar keeps something of flows that are over")
 
 
 MAIN_END = world.packet.end_of(*world.ROUTE)
 
-MESSAGE_FAULTS: dict[str, list[int]] = {
-    "loss": [],
-    "loss for long": [],
-    "duplication": [world.DELAY_MS, 3, 700],
-    "reordering": [60],
-    "long delay": [LONG_MS],
-    "late duplicate": [world.DELAY_MS, LONG_MS],
-}
-"""What becomes of the message that is the step: after how many ms its copies arrive."""
-
-
-def kill(day: Day, node: world.Node, dark_ms: int = 300) -> None:
-    """Kill one process; it is started again."""
-    node.alive = False
-    day.later(dark_ms, day.restart_process, node)
-
-
-def kill_sidecar(day: Day, node: world.Node) -> None:
-    """Kill a sidecar; its upstream and that one's flows live on."""
-    kill(day, day.sidecar_near(node))
-
-
-def kill_balancer(day: Day, node: world.Node) -> None:
-    """Kill a balancer; the fabric hands its flows to another one at once."""
-    killed = day.balancer_near(node)
-    kill(day, killed)
-    for caller in day.living:
-        if caller.through is killed:
-            caller.through = day.balancer_for(killed.zone, caller.number)
-
-
-def kill_all(day: Day, node: world.Node) -> None:
-    """Kill every process of the system at once; callers and upstreams live on."""
-    for other in day.everyone():
-        if other.alive:
-            kill(day, other, dark_ms=day.rng.randrange(200, 500))
-
-
-def crash_upstream(day: Day, node: world.Node) -> None:
-    """Let an upstream crash and start anew under its id, at once or later; its flows are gone."""
-    struck = day.sidecar_near(node)
-    struck.upstream.flows.clear()
-    struck.upstream.alive = False
-    day.later(day.rng.choice([1, 900]), start_upstream, day, struck)
-
-
-def start_upstream(day: Day, node: world.Node) -> None:
-    """Start an upstream anew, with nothing of before."""
-    if getattr(node, "gone", False):
-        return
-    node.upstream.restart()
-    if node.address in day.entry_of:
-        entry = day.entry_of[node.address]
-        day.entry(node, born=entry.born + 1_000, leaving=False, warm_at=day.now + 500)
-        day.spread(node)
-
-
-def mute_upstream(day: Day, node: world.Node) -> None:
-    """Let an upstream take nothing for a while; it keeps its flows."""
-    day.mute_until[day.sidecar_near(node).upstream.name] = day.now + OUTAGE_MS
-
-
-def lose_power(day: Day, node: world.Node) -> None:
-    """Let an instance lose power, upstream and sidecar; both are back later, with nothing."""
-    struck = day.sidecar_near(node)
-    entry = day.entry_of.pop(struck.address, None)
-    struck.alive = struck.upstream.alive = False
-    struck.upstream.flows.clear()
-    day.later(700, day.spread, struck)
-    day.later(1_000, power_returns, day, struck, entry)
-
-
-def power_returns(day: Day, node: world.Node, entry) -> None:
-    """Start what ran on an instance, under the same id."""
-    if getattr(node, "gone", False) or entry is None:
-        return
-    day.entry_of[node.address] = entry
-    start_upstream(day, node)
-    day.restart_process(node)
-
-
-def lose_all_power(day: Day, node: world.Node) -> None:
-    """Let every instance lose power at once."""
-    for other in day.sidecars:
-        if other.alive:
-            lose_power(day, other)
-    for other in day.balancers:
-        kill(day, other, 1_000)
-
-
-def freeze_sidecar(day: Day, node: world.Node) -> None:
-    """Stop a sidecar for a while; it wakes with its old view and full buffers."""
-    day.sidecar_near(node).frozen_until = day.now + OUTAGE_MS
-
-
-def freeze_balancer(day: Day, node: world.Node) -> None:
-    """Stop a balancer for a while; the fabric still sends it packets."""
-    day.balancer_near(node).frozen_until = day.now + OUTAGE_MS
-
-
-def cut_off(day: Day, node: world.Node, outward=True, inward=True) -> None:
-    """Cut a sidecar off from every balancer."""
-    struck = day.sidecar_near(node)
-    cuts = set()
-    for other in day.balancers:
-        cuts |= {(struck.address, other.address)} if outward else set()
-        cuts |= {(other.address, struck.address)} if inward else set()
-    day.cuts |= cuts
-    day.later(OUTAGE_MS, day.cuts.difference_update, cuts)
-
-
-def cut_balancer(day: Day, node: world.Node) -> None:
-    """Cut a balancer off from every sidecar and from the store; callers still reach it."""
-    struck = day.balancer_near(node)
-    cuts = {(struck.address, n.address) for n in day.sidecars}
-    cuts |= {(there, here) for here, there in cuts}
-    day.cuts |= cuts
-    day.stale.add(struck.address)
-    struck.core.set_fresh(False, day.now)
-    day.later(OUTAGE_MS, day.cuts.difference_update, cuts)
-
-
-def balancer_without_store(day: Day, node: world.Node) -> None:
-    """Let a balancer hear nothing new of the store until the end; it knows so."""
-    struck = day.balancer_near(node)
-    day.stale.add(struck.address)
-    struck.core.set_fresh(False, day.now)
-
-
-def sidecar_without_store(day: Day, node: world.Node) -> None:
-    """Let a sidecar hear nothing new of the store until the end; it knows so."""
-    struck = day.sidecar_near(node)
-    day.stale.add(struck.address)
-    struck.core.view_fresh = False
-
-
-def lose_entry(day: Day, node: world.Node) -> None:
-    """Let the store drop the entry of an upstream that lives on."""
-    struck = day.sidecar_near(node)
-    if struck.address in day.entry_of:
-        day.withheld[struck.address] = day.entry_of.pop(struck.address)
-        day.lost_at[struck.address] = day.now
-        day.spread(struck)
-
-
-def reuse_address(day: Day, node: world.Node) -> None:
-    """End an instance; its address goes to an upstream of the other service within 300 ms."""
-    struck = day.sidecar_near(node)
-    if getattr(struck, "gone", False):
-        return
-    other = "photos" if struck.core.service == "s" else "s"
-    struck.alive = struck.upstream.alive = False
-    day.entry_of.pop(struck.address, None)
-    day.later(300, take_address, day, struck, other)
-
-
-def take_address(day: Day, node: world.Node, service: str) -> None:
-    """Start an upstream of another service at the address, with a sidecar of its own."""
-    if getattr(node, "gone", False):
-        return
-    number = next(day.upstream_number)
-    node.upstream = world.ends.Upstream(f"u{number}", 1_000_000 * number)
-    node.core.service = service
-    day.entry_of[node.address] = world.fleet.make_upstream(
-        f"u{number}", day.now, service, node.address, node.zone, 2, warm_at=day.now + 500
-    )
-    day.restart_process(node)
-    day.spread(node)
-
-
-def leave_and_stay(day: Day, node: world.Node) -> None:
-    """Let an upstream leave, and take that back soon."""
-    struck = day.sidecar_near(node)
-    day.leave(struck)
-    day.later(day.rng.choice([5, 100, 600]), stay, day, struck)
-
-
-def stay(day: Day, node: world.Node) -> None:
-    """Let an upstream stay after all."""
-    if node.address in day.entry_of:
-        day.entry(node, leaving=False)
-        day.spread(node)
-
-
-def everybody_leaves(day: Day, node: world.Node) -> None:
-    """Let all upstreams of a service leave, and take that back."""
-    for other in day.sidecars:
-        if other.core.service == "s" and other.alive:
-            leave_and_stay(day, other)
-
-
-def fabric_moves(day: Day, node: world.Node) -> None:
-    """Let the fabric hand every flow to another balancer, twice."""
-    day.move_flows()
-    day.later(30, day.move_flows)
-
-
-PROCESS_FAULTS: dict[str, typing.Callable[[Day, world.Node], None]] = {
-    "sidecar killed": kill_sidecar,
-    "balancer killed": kill_balancer,
-    "all processes killed": kill_all,
-    "upstream crashes": crash_upstream,
-    "upstream silent": mute_upstream,
-    "instance loses power": lose_power,
-    "all instances lose power": lose_all_power,
-    "sidecar frozen": freeze_sidecar,
-    "balancer frozen": freeze_balancer,
-    "sidecar cut off": cut_off,
-    "sidecar cut off inward": functools.partial(cut_off, outward=False),
-    "sidecar cut off outward": functools.partial(cut_off, inward=False),
-    "balancer cut off": cut_balancer,
-    "balancer without the store": balancer_without_store,
-    "sidecar without the store": sidecar_without_store,
-    "entry lost, upstream lives": lose_entry,
-    "address used by another service": reuse_address,
-    "leaving and staying": leave_and_stay,
-    "everybody leaves and stays": everybody_leaves,
-    "fabric moves flows twice": fabric_moves,
-}
-"""What strikes a process, by name."""
-
-FAULTS = (*MESSAGE_FAULTS, *PROCESS_FAULTS)
+FAULTS = (*faults.MESSAGE_FAULTS, *faults.PROCESS_FAULTS)
 
 
 def applies(step: str, fault: str) -> bool:
     """Tell whether a fault can befall a step: only a message can be lost, doubled or late."""
-    return fault in PROCESS_FAULTS or step in MESSAGE_STEPS
+    return fault in faults.PROCESS_FAULTS or step in MESSAGE_STEPS
 
 
 def cases_of_step(step: str, count: int) -> list[Case]:
@@ -660,8 +436,8 @@
 def play(case: Case) -> tuple[bool, list[str]]:
     """Play a case; return whether its fault struck, and what was found."""
     day = Day(case)
-    faults = day.play()
-    return day.struck, faults
+    found = day.play()
+    return day.struck, found
 
 
 def faults_of(cases: list[Case]) -> list[str]:
