--- a/src/ebonystile/carrier/__main__.py
+++ b/src/ebonystile/carrier/__main__.py
@@ -35,7 +35,7 @@
 
 
 def make_daemon(arguments: list[str], settings):
-    """Return the daemon; each program imports only its own modules."""
+    """Return the daemon for its `node.Node`; each program imports only its own modules."""
     if arguments == ["balancer"]:
         from ebonystile.carrier import balancer
 
