--- a/src/ebonystile/commands/reference.py
+++ b/src/ebonystile/commands/reference.py
@@ -1,11 +1,23 @@
 """Print what can be set for each program: `ebonystile settings`."""
 
 import click
+import msgspec
 
 from ebonystile.operator import reference
+from ebonystile.platform import node
 
 
 @click.command("settings")
 def show():
     """Print every setting of each program with its form, its default and its meaning."""
-    click.echo(reference.page(), nl=False)
+    carriers = [carrier_setting(field) for field in msgspec.structs.fields(node.Node)]
+    click.echo(reference.page(carriers), nl=False)
+
+
+def carrier_setting(field: msgspec.structs.FieldInfo) -> reference.Setting:
+    """Return what the reference tells of a setting of the daemons on the users' platform."""
+    if field.name in node.OF_SIDECARS:
+        need = "required for sidecars"
+    else:
+        need = "required" if field.required else "may be left out"
+    return reference.Setting(field.name, node.FORMS[field.name], need, node.MEANINGS[field.name])
--- a/src/ebonystile/operator/reference.py
+++ b/src/ebonystile/operator/reference.py
@@ -1,15 +1,14 @@
 """Describe every setting of each program, from the models that check them."""
 
+import dataclasses
 import typing
 from collections import abc
 
 import annotated_types
-import msgspec
 import pydantic
 from pydantic import fields
 
 from ebonystile import settings, validation
-from ebonystile.platform import node
 
 MODELS: abc.Mapping[str, type[pydantic.BaseModel]] = {
     "ebonystile-balancer": settings.BalancerSettings,
@@ -47,28 +46,21 @@
 `deploy/settings.json`.
 """
 
-CARRIER_FORMS = {
-    "name": "name",
-    "role": '"balancer" or "sidecar"',
-    "zone": "name",
-    "packets": "ip:port",
-    "ready": "ip:port",
-    "internal_port": "number from 1 to 65535",
-    "store": "ip:port",
-    "seeds": "list of ip:port",
-    "from_upstream": "ip:port",
-    "upstream": "ip:port",
-    "service": "name",
-    "metrics": "ip:port",
-}
-"""How each setting of the daemons on the users' platform is written."""
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """One setting of a file that is no pydantic model: how it is written and who needs it."""
+
+    name: str
+    form: str
+    need: str
+    meaning: str
 
 
-def page() -> str:
-    """Return the whole reference in Markdown."""
-    return "\n".join(
-        [HEAD, *[section(title, model) for title, model in MODELS.items()], carriers()]
-    )
+def page(carriers: abc.Sequence[Setting]) -> str:
+    """Return the whole reference in Markdown; `carriers` are the settings of `CARRIERS`."""
+    sections = [section(title, model) for title, model in MODELS.items()]
+    return "\n".join([HEAD, *sections, carrier_section(carriers)])
 
 
 def section(title: str, model: type[pydantic.BaseModel]) -> str:
@@ -78,24 +70,12 @@
     return "\n".join([f"## {title}", "", *head, *rows, ""])
 
 
-def carriers() -> str:
+def carrier_section(carriers: abc.Sequence[Setting]) -> str:
     """Return the table of the daemons on the users' platform, whose file that platform fills in."""
-    rows = [
-        f"| `{field.name}` | {CARRIER_FORMS[field.name]} | "
-        f"{need_of(field)} | {node.MEANINGS[field.name]} |"
-        for field in msgspec.structs.fields(node.Node)
-    ]
+    rows = [f"| `{one.name}` | {one.form} | {one.need} | {one.meaning} |" for one in carriers]
     return "\n".join([CARRIERS, "| key | form | default | meaning |", TABLE_RULE, *rows, ""])
 
 
-def need_of(field: msgspec.structs.FieldInfo) -> str:
-    """Return whom a setting of the daemons on the users' platform is required for."""
-    if field.required:
-        return "required"
-    sidecars = node.MEANINGS[field.name].startswith("sidecars:")
-    return "required for sidecars" if sidecars else "may be left out"
-
-
 def row(name: str, field: fields.FieldInfo) -> str:
     """Return the line of one setting."""
     default = "required" if field.is_required() else f"`{default_text(field.default)}`"
--- a/src/ebonystile/platform/node.py
+++ b/src/ebonystile/platform/node.py
@@ -35,6 +35,25 @@
 }
 """Each field of the settings and what it holds."""
 
+FORMS = {
+    "name": "name",
+    "role": '"balancer" or "sidecar"',
+    "zone": "name",
+    "packets": "ip:port",
+    "ready": "ip:port",
+    "internal_port": "number from 1 to 65535",
+    "store": "ip:port",
+    "seeds": "list of ip:port",
+    "from_upstream": "ip:port",
+    "upstream": "ip:port",
+    "service": "name",
+    "metrics": "ip:port",
+}
+"""How each field is written."""
+
+OF_SIDECARS = frozenset({"from_upstream", "upstream", "service"})
+"""Fields that only sidecars need."""
+
 
 class Node(msgspec.Struct):
     """What a process is told of the instance that it runs on; `MEANINGS` explains each field."""
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -55,7 +55,7 @@
 def test_the_template_fills_in_every_field():
     text = (ROOT / "deploy" / "settings.json").read_text()
     assert set(re.findall(r'"(\w+)":', text)) == set(node.MEANINGS)
-    assert set(node.MEANINGS) == set(node.Node.__struct_fields__)
+    assert set(node.MEANINGS) == set(node.FORMS) == set(node.Node.__struct_fields__)
 
 
 def test_check_accepts_and_explains_them(tmp_path):
