Let repeats of a large answer ask for nothing, and a late feed be probed with one event

A caller asks for the next window of an answer whenever the parts that it has make whole windows, also when the part that came is a repeat. So one repeat at that moment brings 32 parts; these arrive as repeats at the next boundary and bring 32 each. A 300 kB answer has nine boundaries. That is work which keeps those late that it was repeated for.

Feeds add to it: all events under way, 32 at most, were sent again at each timeout.

Change: only a part that is new asks for the next window. A feed's resend sends the first unacknowledged event, and its window doubles with each acknowledgement.

Before and after: 32 repeats at a boundary brought 33 fetches, now 1 (test).

--- a/src/ebonystile/core/calls/call.py
+++ b/src/ebonystile/core/calls/call.py
@@ -499,6 +499,7 @@
             pending.status = message.status
         if not 0 <= message.part < pending.answer_total:
             return
+        is_new = message.part not in pending.answer_parts
         pending.answer_parts[message.part] = message.body
         pending.wait = RESEND_FIRST
         pending.resend_at = now + RESEND_FIRST
@@ -510,7 +511,9 @@
             self.send(
                 messages.Acknowledge(self.flow, self.service, self.token, message.request, have)
             )
-        elif have % messages.WINDOW == 0:
+        elif is_new and have % messages.WINDOW == 0:
+            # A repeated part asks for nothing: each would bring a whole window, whose repeats would
+            # bring one each in turn, so that one late packet of a large answer became thousands.
             self.fetch(pending)
 
     @on_message.register
--- a/src/ebonystile/core/calls/feeds.py
+++ b/src/ebonystile/core/calls/feeds.py
@@ -45,15 +45,26 @@
         feed.sent = max(feed.sent, message.position)
         feed.resends = 0
         feed.resend_at = now + home.limits.feed_resend
+        widen(home, feed)
     deliver(home, flow, feed, now)
 
 
+def widen(home: state.State, feed: flows.Feed) -> None:
+    """Let twice as many events be under way after a resend, up to the limit."""
+    if feed.window is None:
+        return
+    feed.window *= 2
+    if feed.window >= home.limits.feed_window:
+        feed.window = None
+
+
 def deliver(home: state.State, flow: flows.Flow, feed: flows.Feed, now: int) -> None:
     """Send the events that follow, in order, up to a window beyond the last acknowledged."""
     source = home.sources.get(feed.path)
     if source is None:
         return
-    while feed.sent - feed.acknowledged < home.limits.feed_window:
+    window = feed.window or home.limits.feed_window
+    while feed.sent - feed.acknowledged < window:
         body = source.events.get(feed.sent + 1)
         if body is None:
             break
@@ -144,7 +155,11 @@
 
 
 def resend(home: state.State, now: int) -> None:
-    """Send unacknowledged events again, by another balancer each second time.
+    """Send the first unacknowledged event again, by another balancer each second time.
+
+    Its acknowledgement opens the window anew. With all of them sent again each time,
+    callers and balancers that were late for some seconds got 20 times the usual messages, of which
+    nearly all were repeats: that kept them late, and requests and stops waited behind.
 
     The balancer last heard from may have been killed: everything returned by it is lost, while
     the caller, which only listens, sends nothing that would show a living one.
@@ -157,6 +172,7 @@
             if feed.resends % 2 == 0:
                 flow.via = home.another_balancer(flow.via)
             feed.sent = feed.acknowledged
+            feed.window = 1
             deliver(home, flow, feed, now)
             backoff = min(feed.resends, 8)
             feed.resend_at = now + home.limits.feed_resend * (1 + backoff)
--- a/src/ebonystile/core/calls/flows.py
+++ b/src/ebonystile/core/calls/flows.py
@@ -7,7 +7,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Feed:
-    """One subscription: the last event acknowledged, the last one sent, and when to resend."""
+    """One subscription: the last event acknowledged, the last one sent, and when to resend.
+
+    `window` is how many events may be under way; None for as many as the home's limits allow.
+    """
 
     request: bytes
     path: str
@@ -15,6 +18,7 @@
     sent: int
     resend_at: int = 0
     resends: int = 0
+    window: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_safeguards.py
+++ b/tests/test_safeguards.py
@@ -1,6 +1,7 @@
 """Show each safeguard of the cores at work alone; `scripts/mutants` takes them out one by one."""
 
 import dataclasses
+import functools
 import types
 
 import pytest
@@ -536,6 +537,57 @@
     assert used == {VIA, OTHER}
 
 
+def test_repeated_parts_of_a_large_answer_ask_for_no_more():
+    """On a busy machine a caller asks again for parts that are on their way; all of them arrive.
+
+    It has a whole window of the answer then and asks once for the next. If every repeat asked as
+    well, each would bring a window, whose repeats would ask again: balancers carry 20 times the
+    usual messages then and stay seconds behind.
+    """
+    caller = caller_with_token()
+    request = caller.request("large", b"", NOW + 9_000, True, NOW)
+    part = functools.partial(
+        messages.AnswerPart, caller.flow, request, b"a", status=200, parts=3 * messages.WINDOW
+    )
+    caller.outbox.clear()
+    for number in (*range(messages.WINDOW), *range(messages.WINDOW)):
+        caller.receive(part(part=number, body=b"x"), NOW + 50)
+    sent = [messages.FROM_CALLER.decode(payload) for payload in caller.outbox]
+    assert [type(message) for message in sent] == [messages.Fetch]
+    assert sent[0].parts == tuple(range(messages.WINDOW, 2 * messages.WINDOW))
+
+
+def test_a_caller_that_is_late_is_not_flooded_with_repeats_of_its_feed():
+    """A caller and its balancers are seconds late on a busy machine; 20 events are under way to it.
+
+    No acknowledgement comes for 6 s. If all of the events were sent again each time, what had to
+    be worked off would grow faster than anybody late could work, and nobody would be in time again.
+    Once the caller answers, it gets the rest within a few exchanges.
+    """
+    one = One()
+    token = one.open()
+    one.say(messages.Subscribe(FLOW, wires.SERVICE, token, b"s", "spans", 0), NOW)
+    batch = tuple((position, b"%d" % position) for position in range(1, 21))
+    first = one.take(events.FeedBatch("spans", 0, batch), NOW + 10)
+    assert positions(first) == list(range(1, 21))
+    repeated = []
+    for now in range(NOW + 50, NOW + 6_000, 50):
+        repeated += positions(one.tick(now))
+    assert set(repeated) == {1}
+    assert len(repeated) <= 8
+    got, exchanges = 1, 0
+    while got < 20:
+        acknowledged = messages.Acknowledge(FLOW, wires.SERVICE, token, b"s", got)
+        got = max(positions(one.say(acknowledged, NOW + 6_100)))
+        exchanges += 1
+    assert exchanges <= 5
+
+
+def positions(told):
+    """Return the positions of the feed's events among what the caller was told."""
+    return [m.position for m in told if isinstance(m, messages.FeedEvent)]
+
+
 def test_answer_is_held_until_its_caller_has_all_of_it():
     one = One()
     token = one.open()
