--- a/src/ebonystile/commands/logs.py
+++ b/src/ebonystile/commands/logs.py
@@ -1,7 +1,5 @@
 """Show what the logs of the carrying daemons tell, in one order: `ebonystile logs`."""
 
-import sys
-
 import click
 
 from ebonystile.commands import shell
@@ -23,10 +21,8 @@
 
     `ebonystile trace` follows one flow. Lines are put in order by their processes' clocks.
     """
-    wanted = carried.Filter(process, event, upstream)
-    if at is not None:
-        wanted = carried.Filter(
-            process, event, upstream, at - 1000 * within_s, at + 1000 * within_s
-        )
-    for line in carried.select((text for file in logs or (sys.stdin,) for text in file), wanted):
+    around = 1000 * within_s
+    since, until = (0, None) if at is None else (at - around, at + around)
+    wanted = carried.Filter(process, event, upstream, since=since, until=until)
+    for line in carried.select(shell.texts_of(logs), wanted):
         click.echo(carried.text_of(line))
--- a/src/ebonystile/commands/shell.py
+++ b/src/ebonystile/commands/shell.py
@@ -7,8 +7,10 @@
 import dataclasses
 import datetime
 import functools
+import itertools
 import json
 import random
+import sys
 import typing
 from collections import abc
 
@@ -47,6 +49,11 @@
     return command
 
 
+def texts_of(files: abc.Sequence[typing.TextIO]) -> abc.Iterator[str]:
+    """Return the lines of all files, one after the other, or those of standard input."""
+    return itertools.chain.from_iterable(files or (sys.stdin,))
+
+
 def program(name: str) -> abc.Callable:
     """Return a decorator that makes a function of a settings file the command of a program."""
 
--- a/src/ebonystile/commands/trace.py
+++ b/src/ebonystile/commands/trace.py
@@ -1,7 +1,5 @@
 """Follow a carried flow through logs: `ebonystile trace`."""
 
-import sys
-
 import click
 
 from ebonystile.commands import shell
@@ -18,8 +16,7 @@
     FLOW is `caller>route`, each as ip:port, as the caller's own log names its connection. Lines of
     all processes are put in order by their clocks, which may differ by some ms.
     """
-    files = logs or (sys.stdin,)
-    lines = carried.follow((text for file in files for text in file), flow)
+    lines = carried.select(shell.texts_of(logs), carried.Filter(flow=flow))
     for line in lines:
         click.echo(carried.text_of(line, without="flow"))
     click.echo(carried.conclusion(lines))
--- a/src/ebonystile/operator/carried.py
+++ b/src/ebonystile/operator/carried.py
@@ -72,12 +72,6 @@
         return text
 
 
-def follow(texts: typing.Iterable[str], flow: str) -> list[Line]:
-    """Return the lines of the flow in the order of their times."""
-    lines = [line for text in texts if flow in text and (line := parse(text)) is not None]
-    return sorted((line for line in lines if line.fields.get("flow") == flow), key=by_time)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Filter:
     """Which lines are wanted, empty for all; `since` and `until` in ms since the epoch."""
@@ -85,6 +79,7 @@
     process: str = ""
     event: str = ""
     upstream: str = ""
+    flow: str = ""
     since: int = 0
     until: int | None = None
 
@@ -94,6 +89,7 @@
             (self.process, line.process),
             (self.event, line.event),
             (self.upstream, line.fields.get("upstream")),
+            (self.flow, line.fields.get("flow")),
         )
         in_time = self.since <= line.time_ms and (self.until is None or line.time_ms <= self.until)
         return in_time and all(not name or name == found for name, found in wanted)
@@ -101,7 +97,7 @@
 
 def select(texts: typing.Iterable[str], wanted: Filter) -> list[Line]:
     """Return the wanted lines in the order of their times."""
-    lines = (parse(text) for text in texts)
+    lines = (parse(text) for text in texts if wanted.flow in text)
     return sorted((line for line in lines if line is not None and wanted.takes(line)), key=by_time)
 
 
--- a/tests/carrying/faults.py
+++ b/tests/carrying/faults.py
@@ -61,7 +61,7 @@
 
 def start_upstream(day: matrix.Day, node: world.Node) -> None:
     """Start an upstream anew, with nothing of before."""
-    if getattr(node, "gone", False):
+    if node.gone:
         return
     node.upstream.restart()
     if node.address in day.entry_of:
@@ -87,7 +87,7 @@
 
 def power_returns(day: matrix.Day, node: world.Node, entry) -> None:
     """Start what ran on an instance, under the same id."""
-    if getattr(node, "gone", False) or entry is None:
+    if node.gone or entry is None:
         return
     day.entry_of[node.address] = entry
     start_upstream(day, node)
@@ -161,7 +161,7 @@
 def reuse_address(day: matrix.Day, node: world.Node) -> None:
     """End an instance; its address goes to an upstream of the other service within 300 ms."""
     struck = day.sidecar_near(node)
-    if getattr(struck, "gone", False):
+    if struck.gone:
         return
     other = "photos" if struck.core.service == "s" else "s"
     struck.alive = struck.upstream.alive = False
@@ -171,7 +171,7 @@
 
 def take_address(day: matrix.Day, node: world.Node, service: str) -> None:
     """Start an upstream of another service at the address, with a sidecar of its own."""
-    if getattr(node, "gone", False):
+    if node.gone:
         return
     number = next(day.upstream_number)
     node.upstream = world.ends.Upstream(f"u{number}", 1_000_000 * number)
--- a/tests/carrying/matrix.py
+++ b/tests/carrying/matrix.py
@@ -213,7 +213,7 @@
 
     def restart_process(self, node: world.Node) -> None:
         """Start a process anew, unless its instance is gone."""
-        if getattr(node, "gone", False):
+        if node.gone:
             return
         if isinstance(node.core, balancer.Balancer):
             self.restart_balancer(node)
@@ -274,7 +274,7 @@
         self.withheld.clear()
         for node in self.everyone():
             node.frozen_until = min(node.frozen_until, self.now)
-            if not node.alive and not getattr(node, "gone", False):
+            if not node.alive and not node.gone:
                 self.restart_process(node)
         self.configure(*self.newest, [n for n in self.everyone() if n.alive])
         self.known([n for n in self.everyone() if n.alive])
@@ -305,7 +305,7 @@
     def check_opening(self, node, shown) -> None:
         """Check that an upstream may get this new flow, by what its sidecar knows."""
         route = node.core.current.routes.find(shown.flow)
-        service = self.service_of(node)
+        service = node.core.service
         _, end = world.ends.ends(shown.flow)
         allowed = self.allowed[world.ROUTE if end == MAIN_END else PHOTOS_ROUTE]
         if service not in allowed:
@@ -318,10 +318,6 @@
         if own is not None and own.leaving:
             self.found.append("a flow opened at an upstream that its sidecar knows to be leaving")
 
-    def service_of(self, node) -> str:
-        """Return the service of the upstream that really runs at the node."""
-        return node.core.service
-
     def check_run(self, node, request: bytes) -> None:
         """Check that a request has run nowhere else."""
         first = self.ran.setdefault(request, node.upstream.name)
--- a/tests/carrying/world.py
+++ b/tests/carrying/world.py
@@ -17,13 +17,17 @@
 
 @dataclasses.dataclass
 class Node:
-    """A process: its core, address and zone; a dead one hears and says nothing."""
+    """A process: its core, address and zone; a dead one hears and says nothing.
+
+    One that is `gone` is never started again.
+    """
 
     core: object
     address: tuple[str, int]
     zone: str
     upstream: ends.Upstream | None = None
     alive: bool = True
+    gone: bool = False
     frozen_until: int = 0
 
 
