Wait until the new home says so too, in the test of explain

Cause: test_an_upstream_is_labelled_as_leaving failed for a second time beside load, and this time its output was kept: KeyError 'line-0', where the old home says that the flow has moved to line-0. `explain` asks all processes side by side and leaves out those that do not know the flow (operator/explain.py). The check asked for the target at once.

Ruled out: a flow without a home: "moved" is set by the target's acceptance alone.

Change: the test waits, within the bound that it had, until the old home says "moved" and its target is among the holders; then both assertions hold as before.

--- a/tests/test_operator_system.py
+++ b/tests/test_operator_system.py
@@ -129,8 +129,11 @@
 @then("explain names the other upstream as the new home")
 def _(running, flow, home):
     def moved():
+        # Processes are asked side by side: the new home may have answered just before it took the
+        # flow, and the old one just after it gave it up. Then nobody says yet where it lives.
         holders = holders_of(running, flow)
-        return holders if holders[home]["holds"] == "moved" else None
+        gone = holders[home]["holds"] == "moved" and holders[home]["target"] in holders
+        return holders if gone else None
 
     holders = wait_for(moved)
     target = holders[home]["target"]
