Let a flow that nobody takes live on, and end with its caller

Cause: a leaving sidecar fenced each flow before it asked a sibling, and where every sibling refused it asked the same one again for ever. A fenced flow answers no heartbeat, serves no feed and never outlives its lease (expiry passes over flows on their way), so the process stayed for drain_ms (660 s) or until it was killed. Such flows are left by callers that end without a word and by repeated opens whose second home is never closed; uploads, with a flow each, leave most of them.

Ruled out: threads that hang in the executors (the process test ends in 20 s with the executors unchanged); a longer limit, which would only wait longer.

Change: after a round of refusals the flow is no longer fenced (no target has its content), is offered again every second, and its lease is cut to 10 s, of which its caller is told.

Before: three of the four tests of tests/test_leaving.py fail (not drained in 30 s with 4 and with 1 upstreams; feed stands still for 20 s), and the process test ends with a killed sidecar. After: all pass; idle caller's flow waits a minute for its successor and is handed over.

Conclusion: the way by which a stop never ends is closed.

--- a/src/ebonystile/core/calls/flows.py
+++ b/src/ebonystile/core/calls/flows.py
@@ -45,6 +45,9 @@
 
     At or before `barred_before` every request without a record was refused for good. A `lost` flow
     may live at the target of a handover, or nowhere: nothing of it runs here any more.
+
+    A flow that nobody would take is not offered again before `move_at`; `lease_told_at` is when its
+    caller was last told that the lease has become short (both in ms).
     """
 
     id: bytes
@@ -60,6 +63,8 @@
     handover: Handover | None = None
     moved_to: view.Endpoint | None = None
     lost: bool = False
+    move_at: int = 0
+    lease_told_at: int = 0
 
     @property
     def fenced(self) -> bool:
--- a/src/ebonystile/core/calls/handover.py
+++ b/src/ebonystile/core/calls/handover.py
@@ -12,6 +12,10 @@
 
 TRANSFER_ID_BYTES = 16
 
+LEASE_TOLD_AGAIN_MS = 3_500
+"""How often a caller is told of a short lease, in ms: it sends a heartbeat when a third of the
+lease has passed, and a word that comes before that would only put the heartbeat off."""
+
 
 def must_move(home: state.State, flow: flows.Flow) -> bool:
     """Whether the flow lives here but should not any more."""
@@ -31,7 +35,7 @@
         elif flow.handover is not None and not flow.handover.in_flight:
             if flow.handover.retry_at <= now:
                 send(home, flow, now)
-        elif flow.handover is None and must_move(home, flow):
+        elif flow.handover is None and must_move(home, flow) and flow.move_at <= now:
             fence(home, flow, now)
 
 
@@ -42,9 +46,11 @@
         return
     if sum(len(entry.body) for entry in records) > home.limits.transfer_bytes:
         # Too large to be carried; callers fetch their answers here first.
+        wait_here(home, flow, now)
         return
     target = next_target(home, flow, frozenset(), now)
     if target is None:
+        wait_here(home, flow, now)
         return
     for entry in records:
         if entry.state is ledger.State.RECEIVING:
@@ -60,6 +66,27 @@
     send(home, flow, now)
 
 
+def wait_here(home: state.State, flow: flows.Flow, now: int) -> None:
+    """Let a flow that must move live on here for a while, as long as its caller wants it.
+
+    Where all upstreams of a service are stopped at once nobody takes its flows, and one whose
+    caller has ended without a word, or that a repeated open left behind, kept its sidecar until
+    the supervisor killed it. With a short lease the caller either says that it is there, or is not
+    waited for.
+    """
+    flow.move_at = now + home.limits.successor_retry
+    flow.lease_until = min(flow.lease_until, now + home.limits.waiting_lease)
+    if now - flow.lease_told_at >= LEASE_TOLD_AGAIN_MS:
+        flow.lease_told_at = now
+        tell_home(home, flow)
+
+
+def tell_home(home: state.State, flow: flows.Flow) -> None:
+    """Tell the caller its present token and lease."""
+    moved = caller_messages.Moved(flow.id, flow.token, flow.lease_until, flow.answers_for)
+    home.tell(flow, moved)
+
+
 def next_target(
     home: state.State, flow: flows.Flow, refused: frozenset[int] | set[int], now: int
 ) -> view.Endpoint | None:
@@ -186,20 +213,24 @@
 
 
 def try_another(home: state.State, flow: flows.Flow, now: int) -> None:
-    """Go to the next sibling after one that has refused for good, under a new transfer id."""
+    """Go to the next sibling after one that has refused for good, under a new transfer id.
+
+    After the last one the flow lives on here until the siblings are asked again: none of them has
+    its content or may take it from this handover. Held all the while, its feed fell silent for as
+    long as every sibling refused, which is for ever where all are leaving.
+    """
     handover = flow.handover
     handover.refused_by.add(handover.target.key)
     target = next_target(home, flow, handover.refused_by, now)
     if target is None:
-        handover.refused_by.clear()
-        target = next_target(home, flow, frozenset(), now)
-    if target is None:
-        target = handover.target
+        flow.handover = None
+        home.trace("not_taken", flow.id, asked=len(handover.refused_by))
+        wait_here(home, flow, now)
+        return
     flow.handover = flows.Handover(
         home.randomness.randbytes(TRANSFER_ID_BYTES),
         target,
         now + home.limits.handover_deadline,
-        retry_at=now + home.limits.handover_retry,
         refused_by=handover.refused_by,
     )
 
@@ -293,8 +324,7 @@
         adopt_record(home, flow, record)
     home.accepted_transfers[message.id] = message.deadline
     home.trace("adopted", flow.id, service=flow.service, transfer=message.id)
-    moved = caller_messages.Moved(flow.id, flow.token, flow.lease_until, flow.answers_for)
-    home.tell(flow, moved)
+    tell_home(home, flow)
 
 
 def join(flow: flows.Flow, known: flows.Flow) -> None:
--- a/src/ebonystile/core/calls/sidecar.py
+++ b/src/ebonystile/core/calls/sidecar.py
@@ -222,7 +222,7 @@
         flow.lease_until = now + home.limits.flow_lease
         on_message(message, home, flow, now)
         if flow.token != message.token:
-            tell_moved(home, flow)
+            handover.tell_home(home, flow)
 
 
 def on_fenced(
@@ -245,12 +245,6 @@
         home.trace("held", flow.id, reason="handover under way")
 
 
-def tell_moved(home: state.State, flow: flows.Flow) -> None:
-    """Tell the caller its present token."""
-    moved = caller_messages.Moved(flow.id, flow.token, flow.lease_until, flow.answers_for)
-    home.tell(flow, moved)
-
-
 def matches(flow: flows.Flow | None, token: view.Token | None, service: str) -> bool:
     """Whether the flow is the one that the token was given for."""
     return (
@@ -295,7 +289,7 @@
 
 @on_message.register
 def _(message: caller_messages.Heartbeat, home, flow, now):
-    tell_moved(home, flow)
+    handover.tell_home(home, flow)
 
 
 @on_message.register
--- a/src/ebonystile/core/calls/state.py
+++ b/src/ebonystile/core/calls/state.py
@@ -15,7 +15,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """The bounds of one sidecar. Times are in ms, sizes in bytes."""
+    """The bounds of one sidecar. Times are in ms, sizes in bytes.
+
+    A flow that must move and that no sibling takes is offered again every `successor_retry`, and
+    its lease is cut to `waiting_lease`: a third of the 30 s that common supervisors wait for the
+    end of a process, and long enough for three heartbeats of its caller.
+    """
 
     slots: int = 2
     queue: int = 64
@@ -32,6 +37,8 @@
     feed_poll: int = 1_000
     handover_retry: int = 250
     handover_deadline: int = 20_000
+    successor_retry: int = 1_000
+    waiting_lease: int = 10_000
     transfer_memory: int = 600_000
     transfer_bytes: int = 1_500_000
     pause_bound: int = 3_000
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -252,6 +252,24 @@
         "    if not handover.committed:\n        return False\n",
         "    if True:\n        return False\n",
     ),
+    Mutation(
+        "lease cut short while nobody takes a flow",
+        CORE + "calls/handover.py",
+        "    flow.lease_until = min(flow.lease_until, now + home.limits.waiting_lease)\n",
+        "",
+    ),
+    Mutation(
+        "caller told that its flow waits",
+        CORE + "calls/handover.py",
+        "        flow.lease_told_at = now\n        tell_home(home, flow)\n",
+        "        flow.lease_told_at = now\n",
+    ),
+    Mutation(
+        "flow served between two rounds of refusals",
+        CORE + "calls/handover.py",
+        "    if target is None:\n        flow.handover = None\n",
+        "    if target is None:\n",
+    ),
     Mutation(
         "undecided flow not taken back",
         CORE + "calls/handover.py",
--- a/tests/test_processes_faults.py
+++ b/tests/test_processes_faults.py
@@ -278,3 +278,17 @@
             return True
         time.sleep(clock.seconds_until(result.retry_at))
     return False
+
+
+def test_all_upstreams_stopped_at_once_end_in_time_beside_an_abandoned_flow(running):
+    """A caller ends without closing its flow; then every sidecar of the service gets SIGTERM.
+
+    The flow's home has nobody to hand it to. It must end by itself, with status 0, within what
+    common supervisors give a process, and not be killed.
+    """
+    flow = running.caller.open("ledger", soon())
+    assert flow.submit("demands", b"offset", soon(), idempotent=False).result(WAIT_S)
+    running.caller.close()
+    with concurrent.futures.ThreadPoolExecutor(UPSTREAMS) as pool:
+        ended = list(pool.map(lambda s: s.child.stop(WAIT_S), running.sidecars))
+    assert ended == [0] * UPSTREAMS
