--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -1,11 +1,16 @@
 """Run a balancer of carried flows."""
 
+import typing
+
 from ebonystile import clock, loop
 from ebonystile.carrier import shell
 from ebonystile.core import view
 from ebonystile.core.carrying import balancer, messages, packet
 from ebonystile.platform import entries, node, packets
 
+if typing.TYPE_CHECKING:
+    from ebonystile import metrics
+
 LEAST_LEAVE_MS = 1_500
 """How long a leaving balancer goes on at least, in ms: the fabric asks twice a second and takes it
 out after two refusals."""
@@ -22,21 +27,25 @@
 
     def __init__(self, settings: node.Node):
         super().__init__("balancer", settings)
-        self.core = balancer.Balancer(settings.zone, clock.now())
+        self.core = balancer.Balancer(
+            settings.zone,
+            clock.now(),
+            self.feed.sources.seeds,
+            is_seed=settings.is_seed,
+        )
         self.core.current = self.feed.current
         self.core.fleet = self.feed.fleet
         address = entries.address_of(settings.packets)
         self.callers = self.loop.listen(address, self.on_caller, shell.BUFFER_BYTES)
         self.caller_port = address[1]
-        self.report.metrics.gauge(
-            "homes", "Flows whose home is known.", lambda: len(self.core.homes)
-        )
-        self.report.metrics.gauge(
-            "searches", "Searches under way.", lambda: len(self.core.searches)
-        )
         self.alarm_at: int | None = None
         self.caller_at = clock.now()
 
+    def add_metrics(self, held: "metrics.Metrics") -> None:
+        """Add what a balancer holds."""
+        held.gauge("homes", "Flows whose home is known.", lambda: len(self.core.homes))
+        held.gauge("searches", "Searches under way.", lambda: len(self.core.searches))
+
     def ready(self) -> bool:
         """Tell whether packets can be served: a cut-off balancer's callers go to others."""
         return super().ready() and not self.core.unreachable(clock.now())
@@ -45,6 +54,7 @@
         """Let the core use what the store says now."""
         self.core.set_fresh(self.feed.reader.fresh, clock.now())
         self.core.revision = self.feed.reader.revision or 0
+        self.set_alarm()
 
     def on_caller(self, data: bytes, source: view.Address) -> None:
         """Act on a caller's packet."""
--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -6,6 +6,7 @@
 
 from ebonystile import clock, errors, loop
 from ebonystile.carrier import calls, journal, relay
+from ebonystile.core import view
 from ebonystile.core.carrying import fleet, reading, routes, sourcing
 from ebonystile.platform import entries, node, store
 
@@ -112,6 +113,17 @@
         self.on_change()
         self.start()
 
+    def offer(self, address: view.Address) -> None:
+        """Read from a sidecar that offers itself if there is no view yet, at once.
+
+        A process that starts while the store is away knows no other, and would know nothing until
+        the store is back.
+        """
+        self.sources.offer(address)
+        if not self.reader.complete and self.call is None:
+            self.reader.next_at = clock.now()
+            self.start()
+
     def drop_call(self) -> None:
         """Drop the call under way, if there is one."""
         if self.call is not None:
--- a/src/ebonystile/carrier/relay.py
+++ b/src/ebonystile/carrier/relay.py
@@ -6,7 +6,6 @@
 
 import collections
 import dataclasses
-import urllib.parse
 from collections import abc
 
 import msgspec
@@ -90,7 +89,7 @@
     def on_request(self, connection: pages.Connection, target: str) -> None:
         """Answer a call of another process."""
         path, _, query = target.partition("?")
-        fields = dict(urllib.parse.parse_qsl(query))
+        fields = fields_of(query)
         if path == store.WATCH_PATH:
             now = clock.now()
             wait = number(fields.get("wait_ms"))
@@ -145,6 +144,13 @@
         return json_page(entries.Page(items, self.revision, more, self.is_direct()))
 
 
+def fields_of(query: str) -> dict[str, str]:
+    """Return the fields of a query; the library is loaded by the first one, not at the start."""
+    import urllib.parse
+
+    return dict(urllib.parse.parse_qsl(query))
+
+
 def number(text: str | None) -> int:
     """Return the whole number that stands in a query, 0 where there is none."""
     return int(text) if text and text.isascii() and text.isdigit() and len(text) < 20 else 0
--- a/src/ebonystile/carrier/report.py
+++ b/src/ebonystile/carrier/report.py
@@ -1,16 +1,50 @@
-"""Count what a carrying daemon does, and serve the figures at the metrics address."""
+"""Count what a carrying daemon does, and serve the figures at the metrics address.
 
+The metrics and their library are loaded some seconds after the start, or when somebody asks: to
+import them is a tenth of the processor time of a start, which on an instance with a quarter of a
+core kept callers waiting for 60 ms more after a loss of everything.
+"""
+
+import collections
+import dataclasses
+import typing
 from collections import abc
 
-from ebonystile import errors, loop, metrics
+from ebonystile import clock, errors, loop
 from ebonystile.carrier import feed, journal, pages
 from ebonystile.platform import entries
 
+if typing.TYPE_CHECKING:
+    from ebonystile import metrics
+
 METRICS_PATH = "/metrics"
+LOAD_AFTER_MS = 5_000
+"""When the metrics are loaded, in ms after the start: by then a recovery's rush is over."""
+
+MOST_EARLY = 2_000
+"""Durations kept until the metrics are loaded: a balancer's searches of 5 s in such a rush."""
+
+
+SEARCHES = "search_seconds"
+ANSWERS = "run_seconds"
+HELP = {
+    SEARCHES: "Time of a search for a flow's upstream.",
+    ANSWERS: "Time from a request's last packet to its answer's first.",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Duration:
+    """Something that took `ms` and ended at the time `at` (ms); `outcome` is "" for one kind."""
+
+    at: int
+    ms: int
+    name: str
+    outcome: str
 
 
 class Report:
-    """What both programs count; each adds its own to `metrics`."""
+    """What both programs count; each adds its own by `add_own`, once the metrics are loaded."""
 
     def __init__(
         self,
@@ -18,29 +52,63 @@
         log: journal.Journal,
         counts: abc.Mapping[str, int],
         read: feed.Feed,
+        add_own: "abc.Callable[[metrics.Metrics], None]",
     ):
         self.owner = owner
         self.log = log
-        self.metrics = metrics.make_metrics()
-        self.searches: dict[str, metrics.Latency] = {}
-        held = self.metrics
-        held.tally("events", "Events by their names.", counts, "event")
+        self.counts = counts
+        self.read = read
+        self.add_own = add_own
+        self.metrics: metrics.Metrics | None = None
+        self.latencies: dict[tuple[str, str], metrics.Latency] = {}
+        self.early: collections.deque[Duration] = collections.deque(maxlen=MOST_EARLY)
+        owner.at(clock.now() + LOAD_AFTER_MS, self.load)
+
+    def load(self) -> "metrics.Metrics":
+        """Return the metrics, which are made at the first call."""
+        if self.metrics is not None:
+            return self.metrics
+        from ebonystile import metrics
+
+        self.metrics = held = metrics.make_metrics()
+        read = self.read
+        held.tally("events", "Events by their names.", self.counts, "event")
         held.tally(
             "readings", "Answers and failures of the store and relays.", read.counts, "outcome"
         )
-        held.tally("log_lines_left_out", "Lines not logged.", log.left_out, "event")
+        held.tally("log_lines_left_out", "Lines not logged.", self.log.left_out, "event")
         held.gauge("view_fresh", "1 while the view is known to be new.", read.is_fresh)
         held.gauge("configuration", "Version of the configuration.", read.version)
         held.gauge("upstreams", "Upstreams listed.", lambda: len(read.fleet.upstreams))
+        self.add_own(held)
+        for duration in self.early:
+            self.record(duration)
+        self.early.clear()
+        return held
 
     def note_search(self, outcome: str, searched_ms: int) -> None:
         """Count how long a search for a flow's upstream took, by the event that ended it."""
-        latency = self.searches.get(outcome)
-        if latency is None:
-            latency = self.searches[outcome] = self.metrics.latency(
-                "search_seconds", "Time of a search for a flow's upstream.", outcome=outcome
-            )
-        latency.record(self.owner.now, searched_ms)
+        self.record(Duration(self.owner.now, searched_ms, SEARCHES, outcome))
+
+    def note_answer(self, now: int, took_ms: int) -> None:
+        """Count how long the upstream took for a request."""
+        self.record(Duration(now, took_ms, ANSWERS, ""))
+
+    def record(self, duration: Duration) -> None:
+        """Add a duration to its histogram, or keep it until there is one."""
+        if self.metrics is None:
+            self.early.append(duration)
+            return
+        self.latency(duration.name, duration.outcome).record(duration.at, duration.ms)
+
+    def latency(self, name: str, outcome: str = "") -> "metrics.Latency":
+        """Return one histogram of the metrics, which are there by now."""
+        found = self.latencies.get((name, outcome))
+        if found is None:
+            labels = {"outcome": outcome} if outcome else {}
+            found = self.metrics.latency(name, HELP[name], **labels)
+            self.latencies[name, outcome] = found
+        return found
 
     def serve(self, address: str) -> None:
         """Serve the figures; a process that can't carries flows all the same."""
@@ -54,4 +122,5 @@
         if target.partition("?")[0] != METRICS_PATH:
             connection.answer(pages.Page(404))
         else:
-            connection.answer(pages.Page(200, self.metrics.text(), metrics.TEXT_KIND))
+            held = self.load()
+            connection.answer(pages.Page(200, held.text(), held.KIND))
--- a/src/ebonystile/carrier/shell.py
+++ b/src/ebonystile/carrier/shell.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import time
+import typing
 from collections import abc
 
 from ebonystile import clock, errors, loop
@@ -13,6 +14,9 @@
 from ebonystile.peer import carrying
 from ebonystile.platform import entries, node, packets
 
+if typing.TYPE_CHECKING:
+    from ebonystile import metrics
+
 TICK_MS = 200
 """How often pauses, settings and what is over are looked at, in ms."""
 
@@ -47,7 +51,7 @@
         self.feed = feed.Feed(self.loop, settings, self.log, self.on_view)
         self.peers = self.loop.listen(settings.internal, self.on_datagram, BUFFER_BYTES)
         self.pages = pages.Server(self.loop, entries.address_of(settings.ready), self.on_request)
-        self.report = report.Report(self.loop, self.log, self.counts, self.feed)
+        self.report = report.Report(self.loop, self.log, self.counts, self.feed, self.add_metrics)
         if settings.metrics:
             self.report.serve(settings.metrics)
         self.leaving_since: int | None = None
@@ -70,6 +74,10 @@
             raise
         self.log.event("stop", **self.counts, **self.feed.counts)
 
+    def add_metrics(self, held: "metrics.Metrics") -> None:
+        """Add the figures of this program."""
+        raise NotImplementedError
+
     def on_request(self, connection: pages.Connection, target: str) -> None:
         """Answer a request at the readiness address."""
         if target.partition("?")[0] != node.READY_PATH:
@@ -198,5 +206,6 @@
     effects.ToCaller: lambda effect, shell: shell.to_caller(effect.packet.raw, effect.packet.flow),
     effects.Reset: do_reset,
     effects.ReadAgain: lambda effect, shell: shell.feed.hurry(effect.version),
+    effects.ReadFrom: lambda effect, shell: shell.feed.offer(effect.address),
     effects.Trace: do_trace,
 }
--- a/src/ebonystile/carrier/sidecar.py
+++ b/src/ebonystile/carrier/sidecar.py
@@ -1,11 +1,16 @@
 """Run the sidecar of carried flows beside one upstream."""
 
+import typing
+
 from ebonystile import clock, loop
-from ebonystile.carrier import shell
+from ebonystile.carrier import report, shell
 from ebonystile.core import view
 from ebonystile.core.carrying import messages, packet, sidecar
 from ebonystile.platform import entries, node, packets
 
+if typing.TYPE_CHECKING:
+    from ebonystile import metrics
+
 LEAVE_MS = 50
 """How long a leaving sidecar goes on, in ms. Its upstream can be reached through it only, so the
 sooner the next one starts, the fewer packets are lost."""
@@ -16,34 +21,42 @@
 
     def __init__(self, settings: node.Node):
         super().__init__("sidecar", settings)
-        self.core = sidecar.Sidecar(settings.internal, settings.service, clock.now())
+        self.core = sidecar.Sidecar(
+            settings.internal,
+            settings.service,
+            clock.now(),
+            settings.zone,
+            self.feed.sources.seeds,
+        )
         self.core.current = self.feed.current
         self.core.fleet = self.feed.fleet
         self.upstream = entries.address_of(settings.upstream)
         self.outbound = self.loop.listen(
             entries.address_of(settings.from_upstream), self.on_upstream, shell.BUFFER_BYTES
         )
+        self.core.table.results.on_answer = self.report.note_answer
+        self.caller_port = entries.address_of(settings.packets)[1]
+
+    def add_metrics(self, held: "metrics.Metrics") -> None:
+        """Add what a sidecar sees of its upstream."""
         table = self.core.table
-        self.report.metrics.gauge("flows", "Flows known.", lambda: len(table.flows))
-        self.report.metrics.gauge(
-            "running", "Requests that run.", lambda: table.running(self.loop.now)
-        )
-        self.report.metrics.gauge(
+        self.report.latency(report.ANSWERS)
+        held.gauge("flows", "Flows known.", lambda: len(table.flows))
+        held.gauge("running", "Requests that run.", lambda: table.running(self.loop.now))
+        held.gauge(
             "good",
             "Share of requests answered of late.",
             lambda: table.results.good_at(self.loop.now),
         )
-        answers = self.report.metrics.latency(
-            "run_seconds", "Time from a request's last packet to its answer's first."
-        )
-        table.results.on_answer = answers.record
-        self.caller_port = entries.address_of(settings.packets)[1]
 
     def on_view(self) -> None:
         """Let the core use what the store says now."""
         self.core.view_fresh = self.feed.reader.fresh
         self.core.revision = self.feed.reader.revision or 0
-        self.core.view_changed(clock.now())
+        self.core.announcer.relays = self.feed.sources.leads
+        now = clock.now()
+        self.core.view_changed(now)
+        self.carry_out(self.core.announce(now))
 
     def on_upstream(self, data: bytes, source: view.Address) -> None:
         """Act on a packet of the upstream."""
--- /dev/null
+++ b/src/ebonystile/core/carrying/announcing.py
@@ -0,0 +1,129 @@
+"""Make sidecars known that the store's list does not show.
+
+An upstream that lives may have no entry: the store was away for longer than entries last, or can't
+hear that upstream. A balancer that has just started would find its flows nowhere, and one that
+starts while the store is away would know no sidecar at all. So sidecars tell the seeds, the few
+balancers whose addresses stand in everybody's settings, and balancers ask those.
+"""
+
+import dataclasses
+
+from ebonystile.core import view
+from ebonystile.core.carrying import effects, fleet, messages
+
+UNLISTED_EVERY_MS = 200
+"""How often a sidecar whose upstream has no entry says so, in ms: at every tick."""
+
+UNLISTED_FOR_MS = 10_000
+"""How long it does, in ms: an upstream that reaches the store is listed within about 2 s."""
+
+SEED_KEEPS_MS = 1_000
+"""How long a seed remembers an announcement, in ms: five of them. A sidecar may end together with
+its instance soon after it has announced itself, and whoever asks it then waits for nothing."""
+
+ASKER_KEEPS_MS = 3_000
+"""How long a balancer asks the sidecars that a seed has named, in ms: what was lost with all
+processes is looked for in the first seconds."""
+
+RELAY_EVERY_MS = 1_000
+"""How often a sidecar that others may read from says so, in ms."""
+
+VOUCHED_MS = 2 * UNLISTED_EVERY_MS
+"""How long a seed must have listened, and a balancer had its view, in ms, for the seed's word to
+hold: two announcements, of which one may be lost."""
+
+ASK_EVERY_MS = 100
+ASK_FOR_MS = 1_000
+"""How often, and for how long, a balancer asks the seeds, in ms; by then its view is sure without
+them."""
+
+MOST_TOLD = 16
+"""Sidecars named in one answer: with the longest names they fit into one datagram."""
+
+
+class Announcer:
+    """When one sidecar announces itself; `relays` is set where others may read from it."""
+
+    def __init__(self, seeds: tuple[view.Address, ...], zone: str):
+        self.seeds = seeds
+        self.zone = zone
+        self.relays = False
+        self.unlisted_since: int | None = None
+        self.announced_at: int | None = None
+
+    def due(self, service: str, listed: bool, now: int) -> list[effects.Effect]:
+        """Return the announcements to be sent now, at a tick or after a change of the view."""
+        if listed:
+            self.unlisted_since = None
+        elif self.unlisted_since is None:
+            self.unlisted_since = now
+            self.announced_at = None
+        elif now - self.unlisted_since >= UNLISTED_FOR_MS:
+            return []
+        if listed and not self.relays:
+            return []
+        if self.announced_at is not None and now - self.announced_at < self.pause():
+            return []
+        self.announced_at = now
+        announced = messages.Announce(service, self.zone, listed, self.relays)
+        return [effects.Send(seed, announced) for seed in self.seeds]
+
+    def pause(self) -> int:
+        """Return the time between two announcements, in ms."""
+        return RELAY_EVERY_MS if self.unlisted_since is None else UNLISTED_EVERY_MS
+
+
+@dataclasses.dataclass(slots=True)
+class Vouching:
+    """What the seeds say to one balancer about sidecars without an entry.
+
+    `vouched` is set once a seed that has listened for long enough has answered since the view is
+    there; `ask_at` is when the seeds are asked next and `give_up_at` when no more, in ms.
+    """
+
+    seeds: tuple[view.Address, ...]
+    is_seed: bool
+    started_at: int
+    vouched: bool = False
+    ask_at: int | None = None
+    give_up_at: int = 0
+
+    def view_began(self, now: int) -> None:
+        """Note that the view is the store's present word from now on."""
+        self.vouched = False
+        self.ask_at = now + VOUCHED_MS if self.seeds or self.is_seed else None
+        self.give_up_at = now + ASK_FOR_MS
+
+    def ask(self, now: int) -> list[effects.Effect]:
+        """Return the questions that are due, none once there was an answer that holds."""
+        if self.ask_at is None or self.ask_at > now:
+            return []
+        if self.is_seed and now - self.started_at >= VOUCHED_MS:
+            self.take(now - self.started_at)
+            return []
+        self.ask_at = now + ASK_EVERY_MS if now < self.give_up_at else None
+        return [effects.Send(seed, messages.AskUnlisted()) for seed in self.seeds]
+
+    def take(self, listening: int) -> None:
+        """Take the word of a seed that has listened for so long, in ms."""
+        if listening >= VOUCHED_MS and self.ask_at is not None:
+            self.vouched = True
+            self.ask_at = None
+
+
+def note(known: fleet.Fleet, sidecar: messages.Unlisted, until: int) -> None:
+    """Remember a sidecar without an entry, until a time in ms, with the upstreams that may live."""
+    host, port = sidecar.address
+    made = fleet.make_upstream(
+        f"{host}:{port}", 0, sidecar.service, sidecar.address, sidecar.zone, 1
+    )
+    known.note_departed(made, until)
+
+
+def answer(known: fleet.Fleet, started_at: int, now: int) -> messages.AnswerUnlisted:
+    """Return what this process tells of sidecars without an entry."""
+    told = [
+        messages.Unlisted(upstream.address, upstream.service, upstream.zone)
+        for upstream in known.perhaps_alive()
+    ]
+    return messages.AnswerUnlisted(now - started_at, tuple(told[-MOST_TOLD:]))
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -9,7 +9,16 @@
 import typing
 
 from ebonystile.core import view
-from ebonystile.core.carrying import effects, finding, messages, opening, packet, search, state
+from ebonystile.core.carrying import (
+    announcing,
+    effects,
+    finding,
+    messages,
+    opening,
+    packet,
+    search,
+    state,
+)
 
 MAX_HOMES = 100_000
 """Flows remembered at once, about 300 bytes each."""
@@ -85,8 +94,12 @@
         if home is not None:
             begun.previous = home
             begun.waves[:1] = [search.with_first(home.upstream, (begun.waves or [[]])[0])]
-        if not begun.goes_on:
+        if not begun.goes_on and (shown.opens or self.sure(now)):
             return self.nobody(shown)
+        if not begun.goes_on:
+            # Right after its return the store's list may be empty while all upstreams live.
+            self.decide_later(shown, now)
+            return []
         self.searches[shown.flow] = begun
         self.finding += not begun.opening
         return self.ask_next(begun, now) if begun.waves else finding.ask_widely(self, begun, now)
@@ -101,6 +114,20 @@
                 todo.extend(self.begin(shown, None, now))
         return todo
 
+    def begin_undecided(self, now: int) -> list[effects.Effect]:
+        """Look once more for the flows that were found nowhere before the view was sure.
+
+        Left to the callers' next copies, half of those whose flows were lost with all upstreams
+        learned of it too late to be served in their time.
+        """
+        todo: list[effects.Effect] = []
+        while self.undecided and self.finding < MAX_FINDING and self.sure(now):
+            flow = next(iter(self.undecided))
+            shown = self.undecided.pop(flow)
+            if flow not in self.searches and flow not in self.homes:
+                todo.extend(finding.look_again(self, [shown], now, now))
+        return todo
+
     def nobody(self, shown: packet.Packet) -> list[effects.Effect]:
         """Refuse a flow for which there is no upstream, at once if that is sure."""
         if not self.view_fresh or shown.aborts:
@@ -117,11 +144,17 @@
         self.unheard_since = None
         self.silence.pop(source, None)
         todo = act(message, self, shown, source, now)
-        return [*todo, *self.begin_queued(now)] if self.queued else todo
+        if self.queued:
+            todo.extend(self.begin_queued(now))
+        if self.undecided:
+            todo.extend(self.begin_undecided(now))
+        return todo
 
     def on_due(self, now: int) -> list[effects.Effect]:
         """Go on with the searches that are due."""
-        todo: list[effects.Effect] = []
+        todo = self.vouching.ask(now)
+        if self.undecided:
+            todo.extend(self.begin_undecided(now))
         if self.batch.due is not None and self.batch.due <= now:
             todo.extend(finding.ask_batch(self, now))
         due = self.next_search_due()
@@ -168,8 +201,9 @@
             return self.ask_next(found, now)
         if found.goes_on:
             return finding.ask_widely(self, found, now)
-        if now < found.give_up_at and not found.exhausted():
-            self.wait(found, found.give_up_at)
+        until = self.patience(found)
+        if now < until and not found.exhausted():
+            self.wait(found, until)
             return []
         return self.end_of_search(found, now)
 
@@ -186,12 +220,13 @@
         nowhere = not missing and not found.unsure()
         if nowhere and found.opening:
             nowhere = self.view_fresh
-        elif nowhere and self.sure(now) and not finding.confirmed(self, found, now):
+        elif nowhere and not self.sure(now):
+            nowhere = False
+            self.decide_later(last, now)
+        elif nowhere and not finding.confirmed(self, found, now):
             nowhere = False
             if not found.looked_before and not last.aborts:
-                return finding.look_again(self, found, now)
-        elif nowhere:
-            nowhere = self.sure(now)
+                return finding.look_again(self, found.packets, now, now + finding.CONFIRM_MS)
         traced = effects.trace(
             "not_placed" if found.opening else "not_found",
             flow=packet.flow_text(found.flow),
@@ -214,8 +249,8 @@
     source: view.Address,
     now: int,
 ) -> list[effects.Effect]:
-    """Act on one message of a sidecar."""
-    raise TypeError(f"no rule for {type(message).__name__}")
+    """Act on one message of a sidecar; one that is none of a balancer's changes nothing."""
+    return [effects.trace("message_refused", message=type(message).__name__)]
 
 
 @act.register
@@ -234,6 +269,27 @@
     return todo
 
 
+@act.register
+def _(message: messages.Announce, balancer, shown, source, now):
+    if not message.listed:
+        sidecar = messages.Unlisted(source, message.service, message.zone)
+        announcing.note(balancer.fleet, sidecar, now + announcing.SEED_KEEPS_MS)
+    return [effects.ReadFrom(source)] if message.relays else []
+
+
+@act.register
+def _(message: messages.AskUnlisted, balancer, shown, source, now):
+    return [effects.Send(source, announcing.answer(balancer.fleet, balancer.started_at, now))]
+
+
+@act.register
+def _(message: messages.AnswerUnlisted, balancer, shown, source, now):
+    for sidecar in message.sidecars:
+        announcing.note(balancer.fleet, sidecar, now + announcing.ASKER_KEEPS_MS)
+    balancer.vouching.take(message.listening)
+    return []
+
+
 @act.register
 def _(message: messages.AnswerMany, balancer, shown, source, now):
     todo = effects.read_again(message.version, balancer.current.routes.version)
--- a/src/ebonystile/core/carrying/effects.py
+++ b/src/ebonystile/core/carrying/effects.py
@@ -44,6 +44,13 @@
     version: int
 
 
+@dataclasses.dataclass(slots=True)
+class ReadFrom:
+    """Read from this sidecar what it has read of the store, where nothing better is at hand."""
+
+    address: view.Address
+
+
 @dataclasses.dataclass(slots=True)
 class Trace:
     """Log a decision with the inputs that decided it."""
@@ -52,7 +59,7 @@
     fields: tuple[tuple[str, typing.Any], ...]
 
 
-Effect = Send | ToUpstream | ToCaller | Reset | ReadAgain | Trace
+Effect = Send | ToUpstream | ToCaller | Reset | ReadAgain | ReadFrom | Trace
 
 
 def trace(event: str, **fields: typing.Any) -> Trace:
--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -77,7 +77,7 @@
     unsure = found.unsure()
     if not unsure or (found.goes_on and 2 * len(unsure) < len(found.answers)):
         return None
-    if not found.goes_on and not found.all_answered() and now < found.give_up_at:
+    if not found.goes_on and not found.all_answered() and now < known.patience(found):
         return None
     return show(known, found, unsure, now)
 
@@ -102,8 +102,9 @@
     if not known.wide.take(len(unsure), now):
         return wait_for_room(known, found, len(unsure), now)
     found.shown.update(u.address for u in unsure)
+    found.asked_at = now
     found.give_up_at = now + search.SHOW_MS
-    known.wait(found, found.give_up_at)
+    known.wait(found, known.patience(found))
     return [
         effects.trace(
             "shown",
@@ -175,21 +176,23 @@
     return now - first >= CONFIRM_MS
 
 
-def look_again(known: state.State, found: search.Search, now: int) -> list[effects.Effect]:
-    """Search a second time, a moment after the flow was found nowhere, with the packets held.
+def look_again(
+    known: state.State, packets: list[packet.Packet], now: int, due: int
+) -> list[effects.Effect]:
+    """Search a second time, at the time `due`, after the flow was found nowhere.
 
     Sidecars whose upstreams have no entry any more are asked as well: an upstream that the store
     can't hear serves its flows all the same, and a balancer that has not had such a flow before
     would tell its caller that it is over. Most of them are gone and don't answer, which costs the
     others' callers one wave.
     """
-    again = search_for(known, found.packets[0], now)
-    again.packets = found.packets
+    again = search_for(known, packets[0], now)
+    again.packets = packets
     again.waves = []
     everybody = [*known.fleet.by_address.values(), *known.fleet.perhaps_alive()]
     again.later = functools.partial(search.later_waves, everybody, ())
     again.looked_before = True
-    known.searches[found.flow] = again
+    known.searches[again.flow] = again
     known.finding += 1
-    known.wait(again, now + CONFIRM_MS)
+    known.wait(again, due)
     return []
--- a/src/ebonystile/core/carrying/fleet.py
+++ b/src/ebonystile/core/carrying/fleet.py
@@ -29,7 +29,9 @@
     """One start of one upstream; `address` is where its sidecar hears other processes.
 
     `born` (ms since the epoch) tells one start from the next under the same `name`. `warm_at` is
-    when it is through with its slow first seconds, by this process's clock in ms.
+    when it is through with its slow first seconds, by this process's clock in ms. `listed_at` is
+    the store's revision at which its entry came to be; it tells the younger of two starts where
+    neither says when it was.
     """
 
     name: str
@@ -41,6 +43,7 @@
     leaving: bool
     warm_at: int
     key: int
+    listed_at: int = 0
 
     @property
     def boot(self) -> tuple[str, int]:
@@ -58,6 +61,7 @@
     *,
     leaving: bool = False,
     warm_at: int = 0,
+    listed_at: int = 0,
 ) -> Upstream:
     """Return an upstream with the key by which it is ranked.
 
@@ -65,7 +69,7 @@
     ranking of all flows stays as it was.
     """
     key = view.key_of(f"{address[0]}:{address[1]}")
-    return Upstream(name, born, service, address, zone, slots, leaving, warm_at, key)
+    return Upstream(name, born, service, address, zone, slots, leaving, warm_at, key, listed_at)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,15 +84,22 @@
     """Return the upstreams sorted out; of two at one address the younger holds.
 
     An address is used again soon after its upstream is gone, and the old entry may still stand:
-    routing to both would show one service's packets to another's upstream.
+    routing to both would show one service's packets to another's upstream. Where entries don't say
+    when their upstreams started, the one that came to be last holds: one that is gone writes no
+    more. Taken by name, the gone one held its address in half of all cases until it lapsed.
     """
-    by_address = {u.address: u for u in sorted(upstreams, key=lambda u: (u.born, u.name))}
+    by_address = {u.address: u for u in sorted(upstreams, key=age)}
     by_service: dict[str, list[Upstream]] = {}
     for upstream in by_address.values():
         by_service.setdefault(upstream.service, []).append(upstream)
     return Index(by_address, by_service)
 
 
+def age(upstream: Upstream) -> tuple[int, int, str]:
+    """Return what orders the starts of upstreams, the oldest first."""
+    return (upstream.born, upstream.listed_at, upstream.name)
+
+
 class Fleet:
     """The upstreams known, by name."""
 
@@ -116,10 +127,14 @@
         gone = self.upstreams.pop(name)
         self.fading.pop(name, None)
         self.indexed = None
-        if len(self.departed) < MAX_DEPARTED:
-            self.departed[gone.address] = (gone, now + DEPARTED_MS)
+        self.note_departed(gone, now + DEPARTED_MS)
         return True
 
+    def note_departed(self, upstream: Upstream, until: int) -> None:
+        """Remember, until a time in ms, that an upstream without an entry may be alive."""
+        if len(self.departed) < MAX_DEPARTED or upstream.address in self.departed:
+            self.departed[upstream.address] = (upstream, until)
+
     def expire(self, now: int) -> list[str]:
         """Drop the upstreams whose time after an outage is over; return their names."""
         self.departed = {a: d for a, d in self.departed.items() if d[1] > now}
--- a/src/ebonystile/core/carrying/messages.py
+++ b/src/ebonystile/core/carrying/messages.py
@@ -28,7 +28,8 @@
 
     `latency` is the recent time from a request to its answer in ms, 0 if there was none, `good` the
     share of requests that were answered at all. `silent` says that the upstream has left opening
-    packets unanswered, `accepting` that new flows may come.
+    packets unanswered, `accepting` that new flows may come, `saturated` that a request runs on each
+    slot; `running` counts those as well that are about to come on flows just opened.
     """
 
     running: int = 0
@@ -38,6 +39,7 @@
     good: float = 1.0
     accepting: bool = True
     silent: bool = False
+    saturated: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,4 +138,52 @@
     raw: bytes
 
 
-Message = Ask | Answer | AskMany | AnswerMany | Open | Carry | Show | Return
+@dataclasses.dataclass(slots=True)
+class Unlisted:
+    """A sidecar whose upstream has no entry, as others pass its word on."""
+
+    address: tuple[str, int]
+    service: str
+    zone: str
+
+
+@dataclasses.dataclass(slots=True)
+class Announce:
+    """A sidecar's word to the seeds that it is there.
+
+    `listed` tells whether its upstream has an entry, `relays` whether others may read from it what
+    it has read of the store.
+    """
+
+    service: str
+    zone: str
+    listed: bool
+    relays: bool
+
+
+@dataclasses.dataclass(slots=True)
+class AskUnlisted:
+    """Ask a seed which sidecars have told it that their upstreams have no entry."""
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerUnlisted:
+    """A seed's answer to `AskUnlisted`, and for how long it has listened, in ms."""
+
+    listening: int
+    sidecars: tuple[Unlisted, ...]
+
+
+Message = (
+    Ask
+    | Answer
+    | AskMany
+    | AnswerMany
+    | Open
+    | Carry
+    | Show
+    | Return
+    | Announce
+    | AskUnlisted
+    | AnswerUnlisted
+)
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -1,5 +1,6 @@
 """Decide where a new flow goes: whom to ask, and which upstream takes it by what they answer."""
 
+import dataclasses
 import functools
 import typing
 
@@ -13,6 +14,14 @@
 """
 
 
+HOLD_MS = 800
+"""How long a new flow waits at most for an upstream that is not crowded, in ms, counted from its
+first packet: its caller gives up after 1,400, and must still be answered."""
+
+HOLD_STEP_MS = 25
+"""How often the sidecars are asked meanwhile, in ms: about the time of a request."""
+
+
 def search_for(known: state.State, shown: packet.Packet, service: str, now: int) -> search.Search:
     """Return the search for an upstream that takes a new flow."""
     willing = [u for u in known.fleet.of(service) if not u.leaving]
@@ -38,17 +47,62 @@
     kept = found.keeper()
     if kept is not None:
         return place(known, found, kept, now)
-    answers = [(upstream, answer.load) for upstream, answer in found.in_order()]
-    chosen = placing.best(placing.compare(answers, known.zone, now))
+    chosen = placing.best(placing.compare(loads_now(known, found), known.zone, now))
     if chosen is None or not found.wave_over(now):
         return None
     if found.goes_on and not chosen.calm:
         return None
     if chosen.load.silent and not found.all_answered() and now < found.give_up_at:
         return None
+    if chosen.crowded and now < found.started_at + HOLD_MS:
+        return hold(known, found, chosen, now)
     return place(known, found, chosen.upstream, now, chosen)
 
 
+def loads_now(
+    known: state.State, found: search.Search
+) -> list[tuple[fleet.Upstream, messages.Load]]:
+    """Return the loads that sidecars told, with the flows placed there since they were asked.
+
+    Callers come at the same moment after an outage. The answers about all of them were given
+    before the first one had arrived, so 23 of 30 went to the upstream that had the least work then,
+    and it refused them.
+    """
+    placed = known.placed_since(found.asked_at)
+    return [
+        (upstream, with_more(answer.load, placed[upstream.address]))
+        for upstream, answer in found.in_order()
+    ]
+
+
+def with_more(load: messages.Load, flows: int) -> messages.Load:
+    """Return the load with some more flows, each of which is about to bring a request."""
+    if not flows:
+        return load
+    return dataclasses.replace(load, running=load.running + flows, flows=load.flows + flows)
+
+
+def hold(
+    known: state.State, found: search.Search, chosen: placing.Standing, now: int
+) -> list[effects.Effect]:
+    """Ask again in a moment which upstream is the least busy, since all of them are crowded.
+
+    When all callers come back at once after an outage, the requests on open flows fill every
+    upstream's queue. A new flow sent there is refused, and its caller, who comes back at once, is
+    refused again until it has no try left, although the queues are empty half a second later.
+    """
+    again = search_for(known, found.packets[-1], found.service, now)
+    again.started_at = found.started_at
+    again.packets = found.packets
+    again.excluded = found.excluded
+    known.searches[found.flow] = again
+    known.wait(again, now + HOLD_STEP_MS)
+    again.held = True
+    if found.held:
+        return []
+    return [effects.trace("held", flow=packet.flow_text(found.flow), **inputs_of(chosen))]
+
+
 def place(
     known: state.State,
     found: search.Search,
@@ -59,6 +113,8 @@
     """Send the flow's opening packet to the upstream, `chosen` by its load or holding it."""
     known.end(found)
     known.remember(found.flow, upstream, now)
+    if chosen is not None:
+        known.note_placed(upstream, now)
     key = view.key_of(found.service)
     version = known.current.routes.version
     opening = messages.Open(key, version, found.packets[-1].raw)
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -54,6 +54,14 @@
 """Share of good results from which an upstream needs no comparison with others."""
 
 
+CROWDED = 4
+"""Requests for each slot, running or waiting there, from which a new flow is better held back.
+
+They take four times the usual time to be through, about as long as callers wait gladly, and an
+upstream that queues a few more refuses what comes beyond them.
+"""
+
+
 @dataclasses.dataclass(slots=True)
 class Standing:
     """How an upstream compares with others if it got the new flow.
@@ -73,6 +81,15 @@
         load = self.load
         return not load.silent and load.running <= load.slots and self.sound
 
+    @property
+    def crowded(self) -> bool:
+        """Tell whether so many requests wait there that a new one had better wait here.
+
+        Flows that were just opened alone don't make a crowd: not all bring a request at once.
+        """
+        load = self.load
+        return load.saturated and load.running >= CROWDED * max(1, load.slots)
+
 
 def compare(
     answers: typing.Iterable[tuple[fleet.Upstream, messages.Load]], zone: str, now: int
--- a/src/ebonystile/core/carrying/search.py
+++ b/src/ebonystile/core/carrying/search.py
@@ -14,6 +14,11 @@
 """How long a search takes at most, in ms. An instance whose share of a core is used up stands still
 for up to 100 ms; the caller's next copy comes 200 and 400 ms after the last."""
 
+UNLISTED_MS = 120
+"""How long sidecars without an entry are waited for when nobody else is, in ms: an instance whose
+share of a core is used up stands still for up to 100 ms. Most of them are gone with their
+instances, and for each flow lost with all upstreams its caller waited for 350 ms more."""
+
 SHOW_MS = 400
 """How long an upstream that was shown a packet is waited for, in ms."""
 
@@ -41,7 +46,9 @@
     `service` is that of a flow to be opened, empty for one that is open somewhere. `later` gives
     the waves after the last of `waves`, worked out only if they are wanted. `shown` holds whose
     upstreams were given a packet to find out, `excluded` who gave one back.
-    `revision` is the furthest that any of them has read the store.
+    `revision` is the furthest that any of them has read the store, `asked_at` when the last of them
+    were asked or shown a packet, in ms. `held` marks a new flow that waits since all upstreams are
+    crowded.
     """
 
     flow: packet.Flow
@@ -53,11 +60,13 @@
     later: typing.Callable[[], list[list[fleet.Upstream]]] | None = None
     previous: typing.Any = None
     give_up_at: int = 0
+    asked_at: int = 0
     asked: dict[view.Address, fleet.Upstream] = dataclasses.field(default_factory=dict)
     answers: dict[view.Address, tuple[fleet.Upstream, messages.Answer]] = dataclasses.field(
         default_factory=dict
     )
     looked_before: bool = False
+    held: bool = False
     revision: int = 0
     excluded: set[view.Address] = dataclasses.field(default_factory=set)
     shown: set[view.Address] = dataclasses.field(default_factory=set)
@@ -83,6 +92,7 @@
             self.waves, self.later = self.later(), None
         wave = [u for u in self.waves.pop(0) if u.address not in self.asked]
         self.asked.update((u.address, u) for u in wave)
+        self.asked_at = now
         self.due = now + WAVE_MS
         self.give_up_at = max(self.give_up_at, now + GIVE_UP_MS)
         return wave
@@ -134,6 +144,11 @@
         """Return those that were asked and have not answered."""
         return [u for address, u in self.asked.items() if address not in self.answers]
 
+    def awaited(self) -> list[fleet.Upstream]:
+        """Return those whose word is still out, be it on a question or on a packet shown."""
+        shown = [self.asked[a] for a in self.shown - self.excluded if a in self.asked]
+        return [*self.unanswered(), *shown]
+
     def all_answered(self) -> bool:
         """Tell whether everybody asked has answered."""
         return len(self.answers) >= len(self.asked)
--- a/src/ebonystile/core/carrying/sidecar.py
+++ b/src/ebonystile/core/carrying/sidecar.py
@@ -9,7 +9,7 @@
 import typing
 
 from ebonystile.core import view
-from ebonystile.core.carrying import effects, fleet, messages, packet, routes, table
+from ebonystile.core.carrying import announcing, effects, fleet, messages, packet, routes, table
 
 SILENT_MS = 60
 """How long an upstream may leave an opening packet unanswered before it counts as silent, in ms:
@@ -43,8 +43,16 @@
 class Sidecar:
     """What one sidecar believes; methods return what is to be done, in order."""
 
-    def __init__(self, address: view.Address, service: str, now: int):
+    def __init__(
+        self,
+        address: view.Address,
+        service: str,
+        now: int,
+        zone: str = "",
+        seeds: tuple[view.Address, ...] = (),
+    ):
         self.address = address
+        self.announcer = announcing.Announcer(seeds, zone)
         self.service = service
         self.service_key = view.key_of(service)
         self.started_at = now
@@ -127,14 +135,16 @@
     def load(self, now: int) -> messages.Load:
         """Return what is observed of the upstream."""
         own = self.own
+        slots = own.slots if own else 1
         return messages.Load(
             running=self.table.running(now),
             flows=len(self.table.flows),
-            slots=own.slots if own else 1,
+            slots=slots,
             latency=round(self.table.results.latency),
             good=self.table.results.good_at(now),
             accepting=not self.refusal(),
             silent=self.silent(now),
+            saturated=len(self.table.busy) >= slots,
         )
 
     def refusal(self) -> messages.Reason | None:
@@ -170,7 +180,13 @@
         old = now - self.current.routes.idle
         self.absent = {f: at for f, at in self.absent.items() if at > old}
         self.shown = {f: s for f, s in self.shown.items() if s.at > old}
-        return []
+        return self.announce(now)
+
+    def announce(self, now: int) -> list[effects.Effect]:
+        """Tell the seeds of an upstream without an entry, or that others may read from here."""
+        if self.first_view is None:
+            return []
+        return self.announcer.due(self.service, self.own is not None, now)
 
     def on_message(
         self, message: messages.Message, shown: packet.Packet | None, source: view.Address, now: int
@@ -263,8 +279,8 @@
     source: view.Address,
     now: int,
 ) -> list[effects.Effect]:
-    """Act on one message of a balancer."""
-    raise TypeError(f"no rule for {type(message).__name__}")
+    """Act on one message of a balancer; one that is none of a sidecar's changes nothing."""
+    return [effects.trace("message_refused", message=type(message).__name__)]
 
 
 @act.register
--- a/src/ebonystile/core/carrying/sourcing.py
+++ b/src/ebonystile/core/carrying/sourcing.py
@@ -27,6 +27,9 @@
 out again and again. 50 leave room for the readers of relays that have failed.
 """
 
+MAX_ANNOUNCED = 8
+"""Sidecars kept that offered themselves, the latest; each zone has two that do."""
+
 RELAY_BAD_MS = 2_000
 """How long a relay that failed is passed over, in ms."""
 
@@ -44,14 +47,18 @@
     """Where one process may read, best first; `bad_until` holds those that failed, in ms.
 
     `own` is this process's address, `seeds` whom to ask while nobody else is known. `index` is that
-    of the fleet by which the relays were worked out.
+    of the fleet by which the relays were worked out. `announced` are sidecars that offered
+    themselves, for a process that has no view; `leads` tells that this one offers itself, as the
+    first few of its zone do.
     """
 
     own: view.Address
     zone: str
     seeds: tuple[view.Address, ...] = ()
     relays: tuple[view.Address, ...] = ()
+    announced: tuple[view.Address, ...] = ()
     is_watcher: bool = False
+    leads: bool = False
     index: fleet.Index | None = None
     bad_until: dict[Source, int] = dataclasses.field(default_factory=dict)
 
@@ -74,9 +81,15 @@
         near = watching.get(self.zone, [])
         far = [addresses[0] for zone, addresses in sorted(watching.items()) if zone != self.zone]
         self.is_watcher = self.own in near
+        self.leads = self.own in near[:WATCHERS]
         near = sorted(near, key=self.preference)
         self.relays = tuple(address for address in (*near, *far) if address != self.own)
 
+    def offer(self, address: view.Address) -> None:
+        """Note a sidecar that offers what it has read."""
+        if address not in self.announced:
+            self.announced = (*self.announced, address)[-MAX_ANNOUNCED:]
+
     def preference(self, relay: view.Address) -> int:
         """Return the place of a relay for this process, so that readers spread over a zone's."""
         return xxhash.xxh3_64_intdigest(f"{self.own}{relay}".encode())
@@ -87,7 +100,7 @@
         At the start nothing is known but the seeds, and the store's own word is worth two calls.
         """
         if not complete:
-            return [STORE, *self.relays, *self.seeds]
+            return [STORE, *self.relays, *self.announced, *self.seeds]
         if self.is_watcher:
             return [STORE, *self.relays]
         return [*self.relays, STORE]
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -5,11 +5,20 @@
 have said, and a packet of a flow that is not in it starts a search.
 """
 
+import collections
 import dataclasses
 import heapq
 
 from ebonystile.core import budget, view
-from ebonystile.core.carrying import effects, fleet, messages, packet, routes, search
+from ebonystile.core.carrying import (
+    announcing,
+    effects,
+    fleet,
+    messages,
+    packet,
+    routes,
+    search,
+)
 
 WIDE_PER_S, WIDE_BURST = 1_000, 300
 """Messages a second, and at once, for searches beyond their first wave: these ask everybody there
@@ -25,9 +34,15 @@
 
 SURE_MS = 1_000
 """How long this process must have had its view before it tells a caller that a flow is gone, in
-ms: entries lost in an outage come back within about two heartbeats of 0.8 s, and less would judge
-by a list that is still filling. With 4 s, callers whose upstreams had crashed together with all
-processes waited for their own time limits."""
+ms, where no seed can tell of upstreams without an entry: entries lost in an outage come back within
+about two heartbeats of 0.8 s, and less would judge by a list that is still filling. With 4 s,
+callers whose upstreams had crashed together with all processes waited for their own time limits."""
+
+PLACED_MS = 100
+"""How long a placing is remembered, in ms: answers to questions are seldom older."""
+
+MAX_UNDECIDED = 1_000
+"""Flows found nowhere that wait for a sure view; one more takes the place of the oldest."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,8 +61,14 @@
 class State:
     """What one balancer believes."""
 
-    def __init__(self, zone: str, now: int):
+    def __init__(
+        self, zone: str, now: int, seeds: tuple[view.Address, ...] = (), *, is_seed: bool = False
+    ):
         self.zone = zone
+        self.started_at = now
+        self.vouching = announcing.Vouching(seeds, is_seed, now)
+        self.placed: collections.deque[tuple[int, view.Address]] = collections.deque()
+        self.undecided: dict[packet.Flow, packet.Packet] = {}
         self.current = routes.Current()
         self.fleet = fleet.Fleet()
         self.homes: dict[packet.Flow, Home] = {}
@@ -66,11 +87,15 @@
         self.wide = budget.Budget(WIDE_PER_S, WIDE_BURST)
 
     def next_due(self) -> int | None:
-        """Return when the next search wants to go on, in ms."""
-        due = self.next_search_due()
-        if due is None or self.batch.due is None:
-            return self.batch.due if due is None else due
-        return min(due, self.batch.due)
+        """Return when the next search or question wants to go on, in ms."""
+        dues = (self.next_search_due(), self.batch.due, self.vouching.ask_at, self.decided_at())
+        return min((due for due in dues if due is not None), default=None)
+
+    def decided_at(self) -> int | None:
+        """Return when the flows found nowhere can be decided at the latest, in ms."""
+        if not self.undecided or not self.view_fresh or self.finding:
+            return None
+        return self.view_since + SURE_MS
 
     def next_search_due(self) -> int | None:
         """Return when the next single search wants to go on, in ms."""
@@ -88,19 +113,46 @@
         heapq.heappush(self.dues, (due, found.flow))
 
     def sure(self, now: int) -> bool:
-        """Tell whether the view is the store's present word and has been for a while."""
-        return self.view_fresh and now - self.view_since >= SURE_MS
+        """Tell whether the view is the store's present word, and nobody is missing in it.
+
+        It has been for a while, or a seed has told of all upstreams without an entry.
+        """
+        return self.view_fresh and (self.vouching.vouched or now - self.view_since >= SURE_MS)
 
     def set_fresh(self, fresh: bool, now: int) -> None:
         """Note whether the view is the store's present word."""
         if fresh and not self.view_fresh:
             self.view_since = now
+            self.vouching.view_began(now)
         self.view_fresh = fresh
 
     def unreachable(self, now: int) -> bool:
         """Tell whether no sidecar has answered for a while, though some were asked."""
         return self.unheard_since is not None and now - self.unheard_since > UNREACHABLE_MS
 
+    def decide_later(self, shown: packet.Packet, now: int) -> None:
+        """Keep a packet of a flow that was found nowhere until the view is sure."""
+        self.nowhere.setdefault(shown.flow, now)
+        if len(self.undecided) >= MAX_UNDECIDED:
+            del self.undecided[next(iter(self.undecided))]
+        self.undecided[shown.flow] = shown
+
+    def note_placed(self, upstream: fleet.Upstream, now: int) -> None:
+        """Note that a new flow was placed on the upstream just now."""
+        while self.placed and self.placed[0][0] < now - PLACED_MS:
+            self.placed.popleft()
+        self.placed.append((now, upstream.address))
+
+    def placed_since(self, asked_at: int) -> collections.Counter[view.Address]:
+        """Return how many flows were placed on each upstream at or after a time in ms."""
+        return collections.Counter(address for at, address in self.placed if at >= asked_at)
+
+    def patience(self, found: search.Search) -> int:
+        """Return until when a search waits for those whose word is still out, in ms."""
+        if any(self.fleet.lives(upstream) for upstream in found.awaited()):
+            return found.give_up_at
+        return min(found.give_up_at, found.asked_at + search.UNLISTED_MS)
+
     def end(self, found: search.Search) -> list[effects.Effect]:
         """End a search; the caller's next packet may begin another one."""
         del self.searches[found.flow]
@@ -111,6 +163,7 @@
         """Remember where a flow lives."""
         home = self.homes[flow] = Home(upstream, now)
         self.nowhere.pop(flow, None)
+        self.undecided.pop(flow, None)
         return home
 
     def ask_next(self, found: search.Search, now: int) -> list[effects.Effect]:
--- a/src/ebonystile/metrics.py
+++ b/src/ebonystile/metrics.py
@@ -90,9 +90,6 @@
 Holder = Counter | Latency | Gauge | Tally
 Labels = tuple[tuple[str, str], ...]
 
-TEXT_KIND = "text/plain; version=0.0.4"
-"""Content type of the text format."""
-
 KINDS = {Counter: "counter", Latency: "summary", Gauge: "gauge", Tally: "counter"}
 
 
@@ -109,6 +106,9 @@
 class Metrics:
     """All metrics of one process; ask for each once and keep what is returned."""
 
+    KIND = "text/plain; version=0.0.4"
+    """Content type of the text format."""
+
     def __init__(self):
         self.families: dict[str, Family] = {}
 
--- a/src/ebonystile/peer/carrying.py
+++ b/src/ebonystile/peer/carrying.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import socket
 import struct
 import typing
 
@@ -23,8 +24,20 @@
 
 ASK_TYPE, ANSWER_TYPE, OPEN_TYPE, CARRY_TYPE, SHOW_TYPE, RETURN_TYPE = range(1, 7)
 ASK_MANY_TYPE, ANSWER_MANY_TYPE = 7, 8
+ANNOUNCE_TYPE, ASK_UNLISTED_TYPE, ANSWER_UNLISTED_TYPE = 9, 10, 11
 
-ACCEPTING, SILENT = 1, 2
+ANNOUNCE = struct.Struct("!BBBB")
+ANSWER_UNLISTED = struct.Struct("!BIB")
+UNLISTED = struct.Struct("!4sHBB")
+
+LISTED, RELAYS = 1, 2
+
+MOST_TEXT = 255
+"""Longest name in bytes; its length stands in one byte before it."""
+
+MOST_LISTENING = (1 << 32) - 1
+
+ACCEPTING, SILENT, SATURATED = 1, 2, 4
 
 MOST = (1 << 16) - 1
 """Largest number that a field of two bytes holds."""
@@ -87,7 +100,7 @@
         min(load.slots, MOST),
         min(load.latency, MOST),
         round(load.good * GOOD_SCALE),
-        ACCEPTING * load.accepting | SILENT * load.silent,
+        ACCEPTING * load.accepting | SILENT * load.silent | SATURATED * load.saturated,
     )
 
 
@@ -95,8 +108,9 @@
     running: int, flows: int, slots: int, latency: int, good: int, marks: int
 ) -> messages.Load:
     """Return the load that the last fields of an answer hold."""
-    accepting, silent = bool(marks & ACCEPTING), bool(marks & SILENT)
-    return messages.Load(running, flows, slots, latency, good / GOOD_SCALE, accepting, silent)
+    accepting, silent, saturated = (bool(marks & m) for m in (ACCEPTING, SILENT, SATURATED))
+    share = good / GOOD_SCALE
+    return messages.Load(running, flows, slots, latency, share, accepting, silent, saturated)
 
 
 @pack.register
@@ -114,6 +128,37 @@
     return RETURN.pack(RETURN_TYPE, message.reason, message.version) + message.raw
 
 
+@pack.register
+def _(message: messages.Announce):
+    service, zone = text_bytes(message.service), text_bytes(message.zone)
+    marks = LISTED * message.listed | RELAYS * message.relays
+    return ANNOUNCE.pack(ANNOUNCE_TYPE, marks, len(service), len(zone)) + service + zone
+
+
+@pack.register
+def _(message: messages.AskUnlisted):
+    return PLAIN.pack(ASK_UNLISTED_TYPE)
+
+
+@pack.register
+def _(message: messages.AnswerUnlisted):
+    listening = min(message.listening, MOST_LISTENING)
+    head = ANSWER_UNLISTED.pack(ANSWER_UNLISTED_TYPE, listening, len(message.sidecars))
+    return head + b"".join(map(unlisted_bytes, message.sidecars))
+
+
+def unlisted_bytes(sidecar: messages.Unlisted) -> bytes:
+    """Return one sidecar of an answer."""
+    service, zone = text_bytes(sidecar.service), text_bytes(sidecar.zone)
+    host, port = sidecar.address
+    return UNLISTED.pack(socket.inet_aton(host), port, len(service), len(zone)) + service + zone
+
+
+def text_bytes(text: str) -> bytes:
+    """Return a name as it travels; a longer one than fits is cut and then names nobody."""
+    return text.encode()[:MOST_TEXT]
+
+
 def unpack(data: bytes) -> messages.Message:
     """Return the message in a datagram; raise `DatagramError` if there is none."""
     try:
@@ -160,6 +205,34 @@
     return messages.Return(messages.Reason(reason), version, data[RETURN.size :])
 
 
+def read_announce(data: bytes) -> messages.Announce:
+    """Return the announcement."""
+    _, marks, service_length, zone_length = ANNOUNCE.unpack_from(data)
+    service, zone = texts_of(data[ANNOUNCE.size :], service_length, zone_length)
+    return messages.Announce(service, zone, bool(marks & LISTED), bool(marks & RELAYS))
+
+
+def read_answer_unlisted(data: bytes) -> messages.AnswerUnlisted:
+    """Return the answer."""
+    _, listening, count = ANSWER_UNLISTED.unpack_from(data)
+    at = ANSWER_UNLISTED.size
+    sidecars = []
+    for _ in range(count):
+        host, port, service_length, zone_length = UNLISTED.unpack_from(data, at)
+        at += UNLISTED.size
+        service, zone = texts_of(data[at:], service_length, zone_length)
+        at += service_length + zone_length
+        sidecars.append(messages.Unlisted((socket.inet_ntoa(host), port), service, zone))
+    return messages.AnswerUnlisted(listening, tuple(sidecars))
+
+
+def texts_of(data: bytes, first: int, second: int) -> tuple[str, str]:
+    """Return two names of these lengths in bytes; raise `ValueError` where they are cut off."""
+    if len(data) < first + second:
+        raise ValueError("names cut off")
+    return data[:first].decode(), data[first : first + second].decode()
+
+
 HOLDINGS = tuple(messages.Holding)
 
 READERS: dict[int, typing.Callable[[bytes], messages.Message]] = {
@@ -171,4 +244,7 @@
     RETURN_TYPE: read_return,
     ASK_MANY_TYPE: read_ask_many,
     ANSWER_MANY_TYPE: read_answer_many,
+    ANNOUNCE_TYPE: read_announce,
+    ASK_UNLISTED_TYPE: lambda data: messages.AskUnlisted(),
+    ANSWER_UNLISTED_TYPE: read_answer_unlisted,
 }
--- a/src/ebonystile/platform/entries.py
+++ b/src/ebonystile/platform/entries.py
@@ -20,12 +20,16 @@
 
 
 class Item(msgspec.Struct):
-    """One item, or with `tombstone` the word that it is gone. `value` comes as base64."""
+    """One item, or with `tombstone` the word that it is gone. `value` comes as base64.
+
+    `created` is the store's revision at which the key came to be.
+    """
 
     key: str
     value: bytes = b""
     revision: int = 0
     tombstone: bool = False
+    created: int = 0
 
 
 class Page(msgspec.Struct):
@@ -138,6 +142,7 @@
         body.max_concurrency,
         leaving=body.state == "draining",
         warm_at=now + int(body.warmup_left_ms) if body.warmup_left_ms else 0,
+        listed_at=item.created,
     )
 
 
--- a/src/ebonystile/platform/node.py
+++ b/src/ebonystile/platform/node.py
@@ -76,6 +76,11 @@
         """Return this instance's address."""
         return self.packets.rpartition(":")[0]
 
+    @property
+    def is_seed(self) -> bool:
+        """Tell whether this instance is one of those that everybody knows from the settings."""
+        return any(entries.host_of(seed) == self.host for seed in self.seeds)
+
     @property
     def internal(self) -> view.Address:
         """Return where this process hears the others of the system."""
--- a/src/ebonystile/platform/store.py
+++ b/src/ebonystile/platform/store.py
@@ -1,7 +1,6 @@
 """Make the calls of the platform's store and translate its answers."""
 
 import dataclasses
-import urllib.parse
 
 from ebonystile import errors
 from ebonystile.core.carrying import reading
@@ -47,13 +46,24 @@
     if call.kind is reading.Kind.CONFIGURATION:
         return f"{KEY_PATH}?key={entries.CONFIGURATION_KEY}"
     if call.kind is reading.Kind.ENTRIES:
-        after = f"&after={urllib.parse.quote(call.after, safe='')}" if call.after else ""
+        after = f"&after={quoted(call.after)}" if call.after else ""
         return f"{RANGE_PATH}?prefix={entries.ENTRIES_PREFIX}{after}"
     wait = max(0, call.wait_until - now)
     prefix = entries.EVERYTHING
     return f"{WATCH_PATH}?prefix={prefix}&after={call.revision}&wait_ms={wait}"
 
 
+def quoted(key: str) -> str:
+    """Return a key as it stands in a query.
+
+    Only lists of several pages need it. The library takes a twentieth of the processor time of a
+    start, so it is loaded then.
+    """
+    import urllib.parse
+
+    return urllib.parse.quote(key, safe="")
+
+
 def result_of(call: reading.Call, status: int, body: bytes) -> Result:
     """Return what an answer says; raise `PlatformError` if it is no usable one."""
     if call.kind is reading.Kind.WATCH and status == GONE:
--- /dev/null
+++ b/tests/carrying/test_announcing.py
@@ -0,0 +1,204 @@
+"""Sidecars that the store's list does not show, and how soon callers learn of lost flows."""
+
+import pytest
+
+from ebonystile.core.carrying import announcing, effects, messages, packet, state
+from tests.carrying import world
+
+SECOND = 1_000
+
+
+def seed_with(scene, *seeds):
+    """Let everybody know these balancers from the settings."""
+    for node in scene.sidecars:
+        node.core.announcer.seeds = tuple(seed.address for seed in seeds)
+    for node in scene.balancers:
+        others = tuple(seed.address for seed in seeds if seed is not node)
+        node.core.vouching.seeds = others
+        node.core.vouching.is_seed = node in seeds
+
+
+def view_begins(scene, nodes):
+    """Let balancers that have just started have their view from now on."""
+    for node in nodes:
+        node.core.set_fresh(False, scene.now)
+        node.core.set_fresh(True, scene.now)
+
+
+def restart_everything(scene, *, upstreams):
+    """Start all processes anew, all at this moment, and the upstreams as well if told so."""
+    for node in scene.sidecars:
+        if upstreams:
+            node.upstream.restart()
+        scene.restart_sidecar(node)
+    for node in scene.balancers:
+        scene.restart_balancer(node)
+
+
+def test_callers_learn_of_flows_lost_with_everything_within_half_a_second():
+    """All machines lose power and are back; a caller's packet finds its flow nowhere.
+
+    Nobody knows yet whether the list is whole. Its next copy comes long after that has become
+    clear; told only then, it had no time left to be served on a new flow.
+    """
+    scene = world.World(balancers=3)
+    caller = scene.open()
+    restart_everything(scene, upstreams=True)
+    seed_with(scene, scene.balancers[1])
+    view_begins(scene, scene.balancers)
+    scene.ask(caller, b"again")
+    scene.run(announcing.VOUCHED_MS)
+    assert caller.resets == 0
+    scene.run(100)
+    assert caller.resets == 1
+
+
+def test_a_seed_vouches_for_itself():
+    scene = world.World(balancers=1)
+    caller = scene.open()
+    restart_everything(scene, upstreams=True)
+    seed_with(scene, scene.balancers[0])
+    view_begins(scene, scene.balancers)
+    scene.ask(caller, b"again")
+    scene.run(500)
+    assert caller.resets == 1
+
+
+@pytest.mark.parametrize("seeds", ["none", "dead", "just started"])
+def test_without_a_seed_that_can_tell_callers_wait_until_the_view_is_sure_by_itself(seeds):
+    """The instances that the settings name are gone, or their balancers have just started."""
+    scene = world.World(balancers=2)
+    caller = scene.open()
+    restart_everything(scene, upstreams=True)
+    if seeds != "none":
+        seed_with(scene, scene.balancers[1])
+    scene.balancers[1].alive = seeds != "dead"
+    view_begins(scene, scene.balancers)
+    if seeds == "just started":
+        scene.balancers[1].core.started_at = scene.now + 10 * SECOND
+        scene.balancers[1].core.vouching.started_at = scene.now + 10 * SECOND
+    scene.ask(caller, b"again")
+    scene.run(state.SURE_MS - 50)
+    assert caller.resets == 0
+    scene.run(200)
+    assert caller.resets == 1
+
+
+def test_a_flow_at_an_upstream_without_an_entry_lives_through_the_loss_of_all_processes():
+    """The store was away for longer than entries last, and is back; all processes are killed then.
+
+    The list that the new ones read misses an upstream that lives. Its sidecar tells the seed, and
+    a balancer that is about to tell a caller that its flow is over asks there first.
+    """
+    scene = world.World(balancers=3)
+    caller = scene.open()
+    home = scene.home_of(caller)
+    del scene.entry_of[home.address]
+    restart_everything(scene, upstreams=False)
+    for node in scene.everyone():
+        node.core.fleet.departed.clear()
+    seed_with(scene, scene.balancers[1])
+    view_begins(scene, scene.balancers)
+    scene.ask(caller, b"again")
+    scene.run(2 * SECOND)
+    assert caller.resets == 0
+    assert caller.answer.endswith(b"again")
+
+
+def test_a_sidecar_announces_itself_at_each_tick_until_its_upstream_is_listed():
+    announcer = announcing.Announcer((("10.0.0.1", 7720),), "a")
+    assert announcer.due("s", False, 0)
+    assert not announcer.due("s", False, announcing.UNLISTED_EVERY_MS - 1)
+    assert announcer.due("s", False, announcing.UNLISTED_EVERY_MS)
+    assert not announcer.due("s", True, 2 * announcing.UNLISTED_EVERY_MS)
+
+
+def test_a_sidecar_without_an_entry_for_long_is_silent():
+    """Its upstream is gone for good, or the store can't hear it, and is to be taken as gone."""
+    announcer = announcing.Announcer((("10.0.0.1", 7720),), "a")
+    sent = [now for now in range(0, 60_000, 200) if announcer.due("s", False, now)]
+    assert len(sent) == announcing.UNLISTED_FOR_MS // announcing.UNLISTED_EVERY_MS
+
+
+def test_a_sidecar_that_is_gone_since_it_announced_itself_keeps_nobody_waiting():
+    """All machines lose power; one comes back for a moment, its upstream gone, and is taken away.
+
+    Its sidecar has announced itself meanwhile. Each caller whose flow was lost would be told a
+    third of a second later if its balancer waited for that sidecar as for one that is listed.
+    """
+    scene = world.World(balancers=3, upstreams=5)
+    caller = scene.open()
+    gone = next(n for n in scene.sidecars if n is not scene.home_of(caller))
+    del scene.entry_of[gone.address]
+    restart_everything(scene, upstreams=True)
+    for node in scene.everyone():
+        node.core.fleet.departed.clear()
+    seed_with(scene, scene.balancers[1])
+    scene.run(world.TICK_MS + 5)
+    gone.alive = False
+    view_begins(scene, scene.balancers)
+    scene.ask(caller, b"again")
+    scene.run(announcing.VOUCHED_MS + 250)
+    assert caller.resets == 1
+
+
+def test_an_empty_list_right_after_the_return_of_the_store_ends_no_flow():
+    """All entries have lapsed in an outage; a balancer that starts reads an empty list."""
+    scene = world.World(balancers=1)
+    caller = scene.open()
+    listed = dict(scene.entry_of)
+    scene.entry_of.clear()
+    scene.restart_balancer(scene.balancers[0])
+    view_begins(scene, scene.balancers)
+    scene.ask(caller, b"again")
+    scene.run(500)
+    assert caller.resets == 0
+    scene.entry_of.update(listed)
+    for made in listed.values():
+        scene.balancers[0].core.fleet.put(made)
+    scene.run(1_000)
+    assert caller.answer.endswith(b"again") and caller.resets == 0
+
+
+def test_a_sidecar_that_others_may_read_from_offers_itself_once_a_second():
+    announcer = announcing.Announcer((("10.0.0.1", 7720),), "a")
+    announcer.relays = True
+    sent = [now for now in range(0, 5_000, 200) if announcer.due("s", True, now)]
+    assert sent == [0, 1_000, 2_000, 3_000, 4_000]
+
+
+def test_a_seed_names_at_most_as_many_sidecars_as_fit_into_a_datagram():
+    scene = world.World(balancers=1)
+    (seed,) = scene.balancers
+    for number in range(40):
+        source = (f"10.9.0.{number}", 7720)
+        seed.core.on_message(messages.Announce("s", "a", False, False), None, source, scene.now)
+    (sent,) = seed.core.on_message(messages.AskUnlisted(), None, ("10.0.0.9", 1), scene.now)
+    assert len(sent.message.sidecars) == announcing.MOST_TOLD
+
+
+def test_a_balancer_reads_from_a_sidecar_that_offers_itself():
+    scene = world.World(balancers=1)
+    source = scene.sidecars[0].address
+    offered = messages.Announce("s", "a", True, True)
+    done = scene.balancers[0].core.on_message(offered, None, source, scene.now)
+    assert done == [effects.ReadFrom(source)]
+
+
+@pytest.mark.parametrize("role", ["balancer", "sidecar"])
+def test_a_message_meant_for_the_other_role_changes_nothing(role):
+    """An instance's address was another role's before; a stray datagram must not end a process."""
+    scene = world.World()
+    node = scene.balancers[0] if role == "balancer" else scene.sidecars[0]
+    stray = messages.Ask(b"f" * 12, 1) if role == "balancer" else messages.AskUnlisted()
+    (traced,) = node.core.on_message(stray, None, ("10.0.0.9", 1), scene.now)
+    assert traced.event == "message_refused"
+
+
+def test_few_flows_wait_for_a_sure_view():
+    scene = world.World(balancers=1)
+    core = scene.balancers[0].core
+    for number in range(state.MAX_UNDECIDED + 10):
+        flow = packet.end_of("100.64.0.7", number + 1) + packet.end_of(*world.ROUTE)
+        core.decide_later(packet.Packet(flow, b"", 0, 0, 0), scene.now)
+    assert len(core.undecided) == state.MAX_UNDECIDED
--- a/tests/carrying/test_datagrams.py
+++ b/tests/carrying/test_datagrams.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies
 
 from ebonystile import errors
-from ebonystile.core.carrying import messages
+from ebonystile.core.carrying import announcing, messages
 from ebonystile.peer import carrying
 
 FLOW = strategies.binary(min_size=12, max_size=12)
@@ -22,7 +22,11 @@
     strategies.sampled_from([0.0, 1.0]),
     strategies.booleans(),
     strategies.booleans(),
+    strategies.booleans(),
 )
+NAME = strategies.text(max_size=60).filter(lambda name: len(name.encode()) <= 255)
+HOST = strategies.ip_addresses(v=4).map(str)
+UNLISTED = strategies.builds(messages.Unlisted, strategies.tuples(HOST, SHORT), NAME, NAME)
 MESSAGES = strategies.one_of(
     strategies.builds(messages.Ask, FLOW, NUMBER, POSITION),
     strategies.builds(
@@ -46,6 +50,13 @@
     strategies.builds(messages.Carry, RAW),
     strategies.builds(messages.Show, RAW),
     strategies.builds(messages.Return, strategies.sampled_from(messages.Reason), NUMBER, RAW),
+    strategies.builds(messages.Announce, NAME, NAME, strategies.booleans(), strategies.booleans()),
+    strategies.builds(messages.AskUnlisted),
+    strategies.builds(
+        messages.AnswerUnlisted,
+        POSITION,
+        strategies.lists(UNLISTED, max_size=announcing.MOST_TOLD).map(tuple),
+    ),
 )
 
 
--- a/tests/carrying/test_fleet.py
+++ b/tests/carrying/test_fleet.py
@@ -44,3 +44,17 @@
     for number in range(fleet.MAX_DEPARTED + 50):
         known.remove(f"u{number}", 1_000)
     assert len(known.perhaps_alive()) == fleet.MAX_DEPARTED
+
+
+def test_of_two_starts_at_one_address_the_one_listed_last_holds():
+    """An upstream's instance loses power and is back before the old entry has lapsed.
+
+    The entries do not say when their upstreams started. Whatever their names, the address belongs
+    to the one whose entry came to be last.
+    """
+    for first, second in (("a", "b"), ("b", "a")):
+        known = fleet.Fleet()
+        known.put(fleet.make_upstream(second, 0, "t", ADDRESS, "a", 2, listed_at=9))
+        known.put(fleet.make_upstream(first, 0, "s", ADDRESS, "a", 2, listed_at=4))
+        assert names(known.of("t")) == [second]
+        assert names(known.of("s")) == []
