--- a/src/ebonystile/carrier/calls.py
+++ b/src/ebonystile/carrier/calls.py
@@ -23,12 +23,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Pending:
-    """The call under way; `deadline` in ms."""
+    """The call under way; `deadline` in ms, `begin_by` that of the answer's first byte."""
 
     path: str
     deadline: int
     on_answer: abc.Callable[[int, bytes], None]
     on_failure: abc.Callable[[str], None]
+    begin_by: int | None = None
+    begun: bool = False
     retried: bool = False
 
 
@@ -53,10 +55,16 @@
         deadline: int,
         on_answer: abc.Callable[[int, bytes], None],
         on_failure: abc.Callable[[str], None],
+        begin_by: int | None = None,
     ) -> None:
-        """Ask for a path; exactly one of the two functions is called, by the deadline (ms)."""
-        self.pending = Pending(path, deadline, on_answer, on_failure)
+        """Ask for a path; exactly one of the two functions is called, by the deadline (ms).
+
+        The call fails at `begin_by` (ms) if no byte of an answer has come by then.
+        """
+        self.pending = Pending(path, deadline, on_answer, on_failure, begin_by)
         self.owner.at(deadline, self.check_deadline)
+        if begin_by is not None:
+            self.owner.at(begin_by, self.check_deadline)
         self.start()
 
     def start(self) -> None:
@@ -123,6 +131,7 @@
             if self.pending is None:
                 self.close()
                 return
+            self.pending.begun = True
             self.parser.feed_data(data)
             if len(self.body) > MAX_BODY:
                 self.fail("answer too large")
@@ -173,8 +182,14 @@
 
     def check_deadline(self) -> None:
         """Give the call up if its time is over."""
-        if self.pending is not None and clock.now() >= self.pending.deadline:
+        if self.pending is None:
+            return
+        now = clock.now()
+        begin_by = self.pending.begin_by
+        if now >= self.pending.deadline:
             self.fail("no answer in time")
+        elif begin_by is not None and not self.pending.begun and now >= begin_by:
+            self.fail("no answer has begun in time")
 
     def cancel(self) -> None:
         """Drop the call under way; neither function is called."""
--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -63,7 +63,8 @@
         if call.kind is reading.Kind.ENTRIES and not call.after:
             self.seen = set()
         client = self.clients[source]
-        client.get(store.path_of(call, now), call.deadline, self.on_answer, self.on_failure)
+        path = store.path_of(call, now)
+        client.get(path, call.deadline, self.on_answer, self.on_failure, begin_by=call.begin_by)
 
     def use(self, source: sourcing.Source) -> None:
         """Read from a source from now on; the connection to the last one is closed."""
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -14,7 +14,7 @@
 """
 
 
-HOLD_MS = 800
+HOLD_MS = 300
 """How long a new flow waits at most for an upstream that is not crowded, in ms, counted from its
 first packet: its caller gives up after 1,400, and must still be answered."""
 
--- a/src/ebonystile/core/carrying/reading.py
+++ b/src/ebonystile/core/carrying/reading.py
@@ -13,6 +13,14 @@
 READ_MS = 1_500
 """Longest time for a plain call, in ms: the store answers in 4 ms, at its slowest in 300."""
 
+BEGIN_MS = 600
+"""How long the answer of a plain call may take to begin, in ms: the store's slowest took 0.4 s.
+
+A store that keeps silent held a start for 1.5 s, half of the time that its callers had. The limit
+of the whole call must stay longer: the narrowest links carry a large configuration in over a
+second.
+"""
+
 WATCH_MS = 5_000
 """How long a watch waits for news, in ms. A lost answer leaves the process without news until the
 watch is over, so this and its margin must end before a change has to be in force."""
@@ -49,7 +57,8 @@
 class Call:
     """One call; `after` continues a list, `revision` a watch until `wait_until` (ms).
 
-    `deadline` is when the call counts as failed, in ms.
+    `deadline` is when the call counts as failed, `begin_by` when it does if no byte of an answer
+    has come, both in ms.
     """
 
     kind: Kind
@@ -57,6 +66,7 @@
     after: str = ""
     revision: int = 0
     wait_until: int = 0
+    begin_by: int | None = None
 
 
 class Reader:
@@ -91,7 +101,8 @@
             return None
         if self.todo:
             kind, after = self.todo[0]
-            return Call(kind, now + (RELAY_READ_MS if relay else READ_MS), after)
+            limit = RELAY_READ_MS if relay else READ_MS
+            return Call(kind, now + limit, after, begin_by=now + BEGIN_MS)
         until = now + (RELAY_WATCH_MS if relay else WATCH_MS)
         margin = RELAY_MARGIN_MS if relay else MARGIN_MS
         return Call(Kind.WATCH, until + margin, "", self.revision or 0, until)
--- a/tests/carrier/test_relay.py
+++ b/tests/carrier/test_relay.py
@@ -27,7 +27,7 @@
         self.client = calls.Client(self.loop, address)
         self.results = []
 
-    def get(self, kind, limit=2_000, **more):
+    def get(self, kind, limit=2_000, begin=None, **more):
         now = clock.now()
         call = reading.Call(kind, now + limit, wait_until=now + 300, **more)
         self.client.get(
@@ -35,6 +35,7 @@
             call.deadline,
             lambda status, body: self.results.append((call, status, body)),
             lambda reason: self.results.append((call, 0, reason)),
+            begin_by=None if begin is None else now + begin,
         )
 
     def step_until(self, done, limit=3_000):
@@ -147,9 +148,7 @@
     """The server accepts the connection and never answers, as one that was stopped."""
     made = Bench()
     made.relay.server.close()
-    with socket.socket() as silent:
-        silent.bind(("127.0.0.1", 0))
-        silent.listen()
+    with silent_server() as silent:
         made.client.server = silent.getsockname()
         started = clock.now()
         made.get(reading.Kind.ENTRIES, limit=300)
@@ -157,6 +156,42 @@
         assert 250 <= clock.now() - started < 2_000
 
 
+def silent_server():
+    """Return a socket that accepts connections and says nothing."""
+    silent = socket.socket()
+    silent.bind(("127.0.0.1", 0))
+    silent.listen()
+    return silent
+
+
+def test_a_call_whose_answer_does_not_begin_fails_before_its_deadline():
+    """The store keeps silent when a process starts; its callers wait until it asks elsewhere."""
+    made = Bench()
+    with silent_server() as silent:
+        made.client.server = silent.getsockname()
+        started = clock.now()
+        made.get(reading.Kind.ENTRIES, limit=2_000, begin=200)
+        made.step_until(lambda: made.results)
+        assert made.results[0][2] == "no answer has begun in time"
+        assert 150 <= clock.now() - started < 1_500
+
+
+def test_an_answer_that_has_begun_may_take_until_the_deadline():
+    """A narrow line carries a large configuration for longer than an answer takes to begin."""
+    made = Bench()
+    with silent_server() as slow:
+        made.client.server = slow.getsockname()
+        made.get(reading.Kind.ENTRIES, limit=2_000, begin=200)
+        connection, _ = slow.accept()
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{")
+        waited = clock.now() + 400
+        made.step_until(lambda: clock.now() >= waited)
+        assert made.results == []
+        connection.sendall(b"}")
+        assert made.status() == 200
+        connection.close()
+
+
 def test_bytes_that_are_no_http_close_the_connection_and_nothing_else(bench):
     fill(bench)
     with socket.create_connection(bench.relay.server.socket.getsockname()) as rude:
--- a/tests/carrying/test_reading.py
+++ b/tests/carrying/test_reading.py
@@ -47,6 +47,15 @@
     assert call.wait_until < call.deadline <= 6_000
 
 
+def test_a_plain_call_is_given_up_early_if_its_answer_does_not_begin():
+    """A store that keeps silent at a start must not hold it for the limit of a whole answer."""
+    reader = make()
+    call = reader.next_call(0)
+    assert 400 < call.begin_by < call.deadline
+    read_all(reader)
+    assert reader.next_call(0).begin_by is None
+
+
 def test_failures_are_followed_by_growing_pauses_and_the_view_counts_as_old():
     reader = make()
     read_all(reader)
