--- a/src/ebonystile/core/carrying/announcing.py
+++ b/src/ebonystile/core/carrying/announcing.py
@@ -38,7 +38,7 @@
 them."""
 
 MOST_TOLD = 16
-"""Sidecars named in one answer: with the longest names they fit into one datagram."""
+"""Sidecars named in one answer: with names of up to 30 bytes they fit into one packet."""
 
 
 class Announcer:
@@ -99,7 +99,8 @@
         if self.ask_at is None or self.ask_at > now:
             return []
         if self.is_seed and now - self.started_at >= VOUCHED_MS:
-            self.take(now - self.started_at)
+            self.vouched = True
+            self.ask_at = None
             return []
         self.ask_at = now + ASK_EVERY_MS if now < self.give_up_at else None
         return [effects.Send(seed, messages.AskUnlisted()) for seed in self.seeds]
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -22,6 +22,8 @@
     "tests/carrying/test_sourcing.py",
     "tests/carrying/test_placing.py",
     "tests/carrying/test_fleet.py",
+    "tests/carrying/test_announcing.py",
+    "tests/carrying/test_crowded.py",
 )
 """The tests that must notice, the quickest first: of the product's calls and of carried flows."""
 
@@ -432,10 +434,58 @@
         "unsure = unsure[: max(0, search.SHOWN_BLIND - len(found.shown))]",
         "pass",
     ),
+    Mutation(
+        "a seed that has just started vouches for nothing",
+        CORE + "carrying/announcing.py",
+        "if listening >= VOUCHED_MS and self.ask_at is not None:",
+        "if self.ask_at is not None:",
+    ),
+    Mutation(
+        "flows found nowhere are decided once the view is sure",
+        CORE + "carrying/balancer.py",
+        "            self.decide_later(last, now)\n",
+        "            pass\n",
+    ),
+    Mutation(
+        "sidecars without an entry are asked",
+        CORE + "carrying/balancer.py",
+        "announcing.note(balancer.fleet, sidecar, now + announcing.ASKER_KEEPS_MS)",
+        "pass",
+    ),
+    Mutation(
+        "sidecars that are gone are not waited for",
+        CORE + "carrying/state.py",
+        "return min(found.give_up_at, found.asked_at + search.UNLISTED_MS)",
+        "return found.give_up_at",
+    ),
+    Mutation(
+        "an empty list ends no flow",
+        CORE + "carrying/balancer.py",
+        "if not begun.goes_on and (shown.opens or self.sure(now)):",
+        "if not begun.goes_on:",
+    ),
+    Mutation(
+        "own placings count",
+        CORE + "carrying/state.py",
+        "self.placed.append((now, upstream.address))",
+        "pass",
+    ),
+    Mutation(
+        "new flows wait out a rush",
+        CORE + "carrying/placing.py",
+        "return load.saturated and load.running",
+        "return False and load.running",
+    ),
+    Mutation(
+        "the younger of two entries holds",
+        CORE + "carrying/fleet.py",
+        "return (upstream.born, upstream.listed_at, upstream.name)",
+        "return (upstream.born, upstream.name)",
+    ),
     Mutation(
         "no reset by an old view",
         CORE + "carrying/state.py",
-        "return self.view_fresh and now - self.view_since >= SURE_MS",
+        "return self.view_fresh and (self.vouching.vouched or now - self.view_since >= SURE_MS)",
         "return True",
     ),
     Mutation(
