--- a/benches/recover.py
+++ b/benches/recover.py
@@ -19,7 +19,7 @@
 
 from ebonystile import clock, errors
 from ebonystile.caller import client
-from ebonystile.core.calls import call
+from ebonystile.core.calls import progress
 from standins import processes, system, web
 
 SERVICE = "line-status"
@@ -78,7 +78,7 @@
         at, began = time.monotonic() - plan.started, clock.now()
         body = b"report %d %d" % (number, began)
         asked = flow.submit("reports", body, began + DEADLINE_MS, idempotent=False)
-        answered = asked.result().outcome is call.Outcome.ANSWERED
+        answered = asked.result().outcome is progress.Outcome.ANSWERED
         samples.append(Sample(at, clock.now() - began, answered))
         next_at = clock.now() + round(1000 * plan.pause_s)
         while clock.now() < next_at:
--- a/src/ebonystile/caller/client.py
+++ b/src/ebonystile/caller/client.py
@@ -17,7 +17,7 @@
 from ebonystile import clock, errors, loop
 from ebonystile.caller import budget, messages
 from ebonystile.core import view
-from ebonystile.core.calls import call
+from ebonystile.core.calls import call, progress
 
 TICK_MS = 20
 LAST_WORDS_MS = 1_000
@@ -50,7 +50,9 @@
         self.caller.loop.post(begin)
         return future
 
-    def request(self, path: str, body: bytes, deadline: int, *, idempotent: bool) -> call.Result:
+    def request(
+        self, path: str, body: bytes, deadline: int, *, idempotent: bool
+    ) -> progress.Result:
         """Send a request and return its answer; raise `CallError` if there is none."""
         result = self.submit(path, body, deadline, idempotent=idempotent).result()
         return answer_of(result, self.core.service)
@@ -86,7 +88,7 @@
         """End what was under way on a closed flow."""
         for request, future in self.futures.items():
             reason = "the flow was closed"
-            future.set_result(call.Result(request, call.Outcome.UNKNOWN, reason=reason))
+            future.set_result(progress.Result(request, progress.Outcome.UNKNOWN, reason=reason))
         self.futures.clear()
 
     def post(self, action: abc.Callable[[], typing.Any]) -> None:
@@ -107,7 +109,7 @@
         self.subscription = subscription
         self.incoming = incoming
 
-    def next(self, wait_until: int) -> call.Event | None:
+    def next(self, wait_until: int) -> progress.Event | None:
         """Return the next event, or None if none came until `wait_until` (ms)."""
         try:
             return self.incoming.get(timeout=clock.seconds_until(wait_until))
@@ -154,7 +156,7 @@
 
     def ask(
         self, service: str, path: str, body: bytes, deadline: int, *, idempotent: bool
-    ) -> call.Result:
+    ) -> progress.Result:
         """Send a request on a flow of its own and return its answer; raise `CallError` if none.
 
         Being on a flow of its own, it is placed by the load of that moment. Where it surely was
@@ -243,11 +245,11 @@
             self.flows = {f.core.flow: f for f in self.flows.values()}
 
 
-def answer_of(result: call.Result, service: str) -> call.Result:
+def answer_of(result: progress.Result, service: str) -> progress.Result:
     """Return an answered result; raise the error that any other one stands for."""
-    if result.outcome is call.Outcome.ANSWERED:
+    if result.outcome is progress.Outcome.ANSWERED:
         return result
-    if result.outcome is call.Outcome.NOT_RUN:
+    if result.outcome is progress.Outcome.NOT_RUN:
         raise errors.NotRunError(
             result.reason, step="request", peer=service, retry_at=result.retry_at
         )
--- a/src/ebonystile/core/calls/call.py
+++ b/src/ebonystile/core/calls/call.py
@@ -6,22 +6,14 @@
 """
 
 import dataclasses
-import enum
 import functools
 
 from ebonystile.caller import messages
 from ebonystile.core import rng, view
-
-RESEND_FIRST = 200
-"""Time in ms until the first resend; each later one waits twice as long, up to the limit."""
+from ebonystile.core.calls import progress
 
 RESEND_LIMIT = 2_000
-
-UNKNOWN_LIMIT = 3
-"""How many times a flow must be called unknown, a resend apart, before the caller believes it.
-
-Views reach the sidecars at different times, so one walk may miss a home that the next finds.
-"""
+"""Longest time between two resends, in ms; the first is `progress.RESEND_FIRST`."""
 
 SETTLE_GRACE = 2_000
 """How long after its deadline a request that must not be repeated may still be settled, in ms."""
@@ -58,94 +50,6 @@
 """What still counts once a flow is closed: where its home is, and that it has ended."""
 
 
-class Outcome(enum.Enum):
-    """How a request ended."""
-
-    ANSWERED = "answered"
-    NOT_RUN = "not_run"
-    UNKNOWN = "outcome_unknown"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
-    """The final word on a request: an answer, or why there is none and when to come back."""
-
-    request: bytes
-    outcome: Outcome
-    status: int = 0
-    body: bytes = b""
-    reason: str = ""
-    retry_at: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class Doubt:
-    """How often a flow was called unknown, and when the next time counts (ms).
-
-    All parts of an upload take one walk at the same moment. Were each of its answers counted, one
-    sidecar with an old view would make the caller leave a home that lives.
-    """
-
-    count: int = 0
-    next_at: int = 0
-
-    def add(self, now: int) -> bool:
-        """Count a walk, if it is a resend after the last one; return whether to believe it."""
-        if now >= self.next_at:
-            self.count += 1
-            self.next_at = now + RESEND_FIRST
-        return self.count >= UNKNOWN_LIMIT
-
-
-@dataclasses.dataclass(slots=True)
-class Pending:
-    """A request under way."""
-
-    id: bytes
-    path: str
-    body: bytes
-    deadline: int
-    idempotent: bool
-    total: int
-    missing: tuple[int, ...] = ()
-    uploaded: bool = False
-    resend_at: int = 0
-    wait: int = RESEND_FIRST
-    doubt: Doubt = dataclasses.field(default_factory=Doubt)
-    sent: bool = False
-    settling: bool = False
-    cancelled: bool = False
-    answer: bytes = b""
-    answer_total: int = 0
-    answer_parts: dict[int, bytes] = dataclasses.field(default_factory=dict)
-    status: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class Subscription:
-    """A feed the caller follows; `position` is the last event delivered.
-
-    `ahead` holds events that came before an earlier one, which took a slower balancer.
-    """
-
-    id: bytes
-    path: str
-    position: int
-    heard_at: int = 0
-    resend_at: int = 0
-    doubt: Doubt = dataclasses.field(default_factory=Doubt)
-    ahead: dict[int, bytes] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Event:
-    """One event of a feed, delivered once and in order."""
-
-    subscription: bytes
-    position: int
-    body: bytes
-
-
 class Call:
     """One flow as its caller sees it."""
 
@@ -158,7 +62,7 @@
         self.attempt = 0
         self.open_deadline = deadline
         self.open_resend_at = now
-        self.open_wait = RESEND_FIRST
+        self.open_wait = progress.RESEND_FIRST
         self.refusal: messages.OpenRefused | None = None
         self.closed = False
         self.closes_left = 0
@@ -166,14 +70,14 @@
         self.reopened = 0
         self.lease_until = now
         self.heartbeat_at = now + HEARTBEAT_MOST
-        self.doubt = Doubt()
+        self.doubt = progress.Doubt()
         self.silent_since = now
         self.ticked_at = now
-        self.pending: dict[bytes, Pending] = {}
-        self.subscriptions: dict[bytes, Subscription] = {}
+        self.pending: dict[bytes, progress.Pending] = {}
+        self.subscriptions: dict[bytes, progress.Subscription] = {}
         self.outbox: list[bytes] = []
-        self.outcomes: list[Result] = []
-        self.events: list[Event] = []
+        self.outcomes: list[progress.Result] = []
+        self.events: list[progress.Event] = []
         self.tick(now)
 
     # Commands
@@ -181,7 +85,7 @@
     def request(self, path: str, body: bytes, deadline: int, idempotent: bool, now: int) -> bytes:
         """Begin a request and return its id."""
         total = max(1, -(-len(body) // messages.PART_BYTES))
-        pending = Pending(
+        pending = progress.Pending(
             self.randomness.randbytes(messages.ID_BYTES), path, body, deadline, idempotent, total
         )
         pending.missing = tuple(range(min(total, messages.WINDOW)))
@@ -192,7 +96,9 @@
 
     def subscribe(self, path: str, position: int, now: int) -> bytes:
         """Begin to follow a feed after `position` and return the subscription's id."""
-        subscription = Subscription(self.randomness.randbytes(messages.ID_BYTES), path, position)
+        subscription = progress.Subscription(
+            self.randomness.randbytes(messages.ID_BYTES), path, position
+        )
         self.subscriptions[subscription.id] = subscription
         if self.token:
             self.send_subscribe(subscription, now)
@@ -234,7 +140,7 @@
     def say_close(self, now: int) -> None:
         """Tell the home, if there is one by now, that the flow has ended."""
         self.closes_left -= 1
-        self.close_at = now + RESEND_FIRST * (CLOSE_TRIES - self.closes_left)
+        self.close_at = now + progress.RESEND_FIRST * (CLOSE_TRIES - self.closes_left)
         if self.token:
             self.send(messages.Close(self.flow, self.service, self.token))
 
@@ -295,7 +201,7 @@
         self.send(dataclasses.replace(opening, padding=bytes(max(0, lacking))))
         self.attempt += 1
 
-    def tick_request(self, pending: Pending, now: int) -> None:
+    def tick_request(self, pending: progress.Pending, now: int) -> None:
         """Resend a request, settle it after its deadline, or end it."""
         if now >= pending.deadline:
             self.overdue(pending, now)
@@ -313,20 +219,24 @@
         else:
             self.send_request(pending, now)
 
-    def overdue(self, pending: Pending, now: int) -> None:
+    def overdue(self, pending: progress.Pending, now: int) -> None:
         """Settle a request whose deadline has passed; give it up after a grace."""
         if not pending.sent:
             self.finish(
-                Result(pending.id, Outcome.NOT_RUN, reason="it was never sent", retry_at=now)
+                progress.Result(
+                    pending.id, progress.Outcome.NOT_RUN, reason="it was never sent", retry_at=now
+                )
             )
         elif now >= pending.deadline + SETTLE_GRACE:
-            self.finish(Result(pending.id, Outcome.UNKNOWN, reason="no answer in time"))
+            self.finish(
+                progress.Result(pending.id, progress.Outcome.UNKNOWN, reason="no answer in time")
+            )
         elif not pending.settling and not pending.answer:
             pending.settling = True
             pending.resend_at = now
-            pending.wait = RESEND_FIRST
+            pending.wait = progress.RESEND_FIRST
 
-    def back_off(self, pending: Pending, now: int) -> None:
+    def back_off(self, pending: progress.Pending, now: int) -> None:
         """Set the time of the next resend."""
         pending.resend_at = now + pending.wait
         pending.wait = min(RESEND_LIMIT, pending.wait * 2)
@@ -337,7 +247,7 @@
         """Put a datagram into the outbox."""
         self.outbox.append(messages.FROM_CALLER.encode(message))
 
-    def send_request(self, pending: Pending, now: int) -> None:
+    def send_request(self, pending: progress.Pending, now: int) -> None:
         """Send the parts known to be missing; the last of them asks for a report."""
         if pending.resend_at <= now:
             pending.resend_at = now + pending.wait
@@ -361,9 +271,9 @@
                 )
             )
 
-    def send_subscribe(self, subscription: Subscription, now: int) -> None:
+    def send_subscribe(self, subscription: progress.Subscription, now: int) -> None:
         """Ask for a feed from its position on."""
-        subscription.resend_at = now + RESEND_FIRST * 2
+        subscription.resend_at = now + progress.RESEND_FIRST * 2
         self.send(
             messages.Subscribe(
                 self.flow,
@@ -375,7 +285,7 @@
             )
         )
 
-    def fetch(self, pending: Pending) -> None:
+    def fetch(self, pending: progress.Pending) -> None:
         """Ask for the first missing parts of the answer."""
         numbers = []
         for number in range(pending.answer_total):
@@ -457,7 +367,7 @@
         if view.unpack_token(message.token) is None or not self.is_replaced_by(message):
             return
         moved = message.token != self.token
-        self.doubt = Doubt()
+        self.doubt = progress.Doubt()
         self.token = message.token
         self.stands_for = message.replaces
         self.lease_until = message.lease_until
@@ -474,7 +384,7 @@
         if pending is None or not message.missing:
             return
         pending.missing = tuple(n for n in message.missing if 0 <= n < pending.total)
-        pending.wait = RESEND_FIRST
+        pending.wait = progress.RESEND_FIRST
         pending.resend_at = now
         self.send_request(pending, now)
 
@@ -484,7 +394,7 @@
         pending = self.pending.get(message.request)
         if pending is not None:
             pending.missing = ()
-            pending.doubt = Doubt()
+            pending.doubt = progress.Doubt()
 
     @on_message.register
     def on_answer_part(self, message: messages.AnswerPart, now: int) -> None:
@@ -501,12 +411,14 @@
             return
         is_new = message.part not in pending.answer_parts
         pending.answer_parts[message.part] = message.body
-        pending.wait = RESEND_FIRST
-        pending.resend_at = now + RESEND_FIRST
+        pending.wait = progress.RESEND_FIRST
+        pending.resend_at = now + progress.RESEND_FIRST
         have = len(pending.answer_parts)
         if have == pending.answer_total:
             body = b"".join(pending.answer_parts[n] for n in range(have))
-            self.finish(Result(pending.id, Outcome.ANSWERED, pending.status, body))
+            self.finish(
+                progress.Result(pending.id, progress.Outcome.ANSWERED, pending.status, body)
+            )
             # The home may let go of the answer now, and needs not carry it along in a handover.
             self.send(
                 messages.Acknowledge(self.flow, self.service, self.token, message.request, have)
@@ -520,9 +432,9 @@
     def on_not_run(self, message: messages.NotRun, now: int) -> None:
         """End a request that never was run."""
         self.finish(
-            Result(
+            progress.Result(
                 message.request,
-                Outcome.NOT_RUN,
+                progress.Outcome.NOT_RUN,
                 reason=message.reason,
                 retry_at=message.retry_at,
             )
@@ -532,9 +444,9 @@
     def on_outcome_unknown(self, message: messages.OutcomeUnknown, now: int) -> None:
         """End a request whose outcome nobody knows."""
         self.finish(
-            Result(
+            progress.Result(
                 message.request,
-                Outcome.UNKNOWN,
+                progress.Outcome.UNKNOWN,
                 reason=message.reason,
                 retry_at=message.retry_at,
             )
@@ -569,7 +481,7 @@
         would end as unknown, though it never could have run.
         """
         if not self.doubt.add(now):
-            self.heartbeat_at = now + RESEND_FIRST
+            self.heartbeat_at = now + progress.RESEND_FIRST
         elif not self.in_doubt():
             self.reopen(now)
 
@@ -580,12 +492,12 @@
         if subscription is None:
             return
         subscription.heard_at = now
-        subscription.doubt = Doubt()
+        subscription.doubt = progress.Doubt()
         if subscription.position < message.position <= subscription.position + FEED_AHEAD:
             subscription.ahead[message.position] = message.body
         while (body := subscription.ahead.pop(subscription.position + 1, None)) is not None:
             subscription.position += 1
-            self.events.append(Event(subscription.id, subscription.position, body))
+            self.events.append(progress.Event(subscription.id, subscription.position, body))
         self.send(
             messages.Acknowledge(
                 self.flow, self.service, self.token, subscription.id, subscription.position
@@ -612,29 +524,33 @@
         cancelled ones, which nobody wants to be run any more.
         """
         self.reopened += 1
-        self.doubt = Doubt()
+        self.doubt = progress.Doubt()
         for pending in list(self.pending.values()):
             if pending.sent and (pending.cancelled or not pending.idempotent):
-                self.finish(Result(pending.id, Outcome.UNKNOWN, reason="the flow's home is lost"))
-            pending.doubt = Doubt()
+                self.finish(
+                    progress.Result(
+                        pending.id, progress.Outcome.UNKNOWN, reason="the flow's home is lost"
+                    )
+                )
+            pending.doubt = progress.Doubt()
             pending.answer = b""
             pending.answer_parts = {}
             pending.missing = tuple(range(min(pending.total, messages.WINDOW)))
         for subscription in self.subscriptions.values():
-            subscription.doubt = Doubt()
+            subscription.doubt = progress.Doubt()
         self.flow = self.randomness.randbytes(messages.ID_BYTES)
         self.token = b""
         self.stands_for = ()
         self.attempt = 0
         self.open_resend_at = now
-        self.open_wait = RESEND_FIRST
+        self.open_wait = progress.RESEND_FIRST
         self.open_deadline = max(
             [self.open_deadline, now + RESEND_LIMIT * 15]
             + [pending.deadline for pending in self.pending.values()]
         )
         self.tick_open(now)
 
-    def finish(self, result: Result) -> None:
+    def finish(self, result: progress.Result) -> None:
         """Record the final word on a request, once."""
         if self.pending.pop(result.request, None) is not None:
             self.outcomes.append(result)
--- a/standins/workload.py
+++ b/standins/workload.py
@@ -16,7 +16,7 @@
 
 from ebonystile import clock
 from ebonystile.caller import client
-from ebonystile.core.calls import call
+from ebonystile.core.calls import progress
 from standins import answers
 
 OPEN_MS = 60_000
@@ -189,10 +189,10 @@
         began = clock.now()
         while True:
             result = self.send(flow, errand, path, body)
-            if result is None or result.outcome is call.Outcome.UNKNOWN:
+            if result is None or result.outcome is progress.Outcome.UNKNOWN:
                 session.faults.append(f"{kind}: {errand.tries[-1].reason}")
                 break
-            if result.outcome is call.Outcome.ANSWERED:
+            if result.outcome is progress.Outcome.ANSWERED:
                 self.check(errand, result, path, body)
                 break
             if clock.now() > began + GIVE_UP_MS:
@@ -202,7 +202,9 @@
         with self.lock:
             self.record.errands.append(errand)
 
-    def send(self, flow: client.Flow, errand: Errand, path: str, body: bytes) -> call.Result | None:
+    def send(
+        self, flow: client.Flow, errand: Errand, path: str, body: bytes
+    ) -> progress.Result | None:
         """Send a request once and record the final word on it."""
         deadline = clock.now() + DEADLINE_MS
         future = flow.submit(path, body, deadline, idempotent=errand.idempotent)
@@ -215,7 +217,7 @@
         errand.tries.append(Tried(result.request.hex(), result.outcome.value, result.reason))
         return result
 
-    def check(self, errand: Errand, result: call.Result, path: str, body: bytes) -> None:
+    def check(self, errand: Errand, result: progress.Result, path: str, body: bytes) -> None:
         """Check that the answer is whole and belongs to this very request."""
         request = result.request.hex()
         if result.status != 200:
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -3,7 +3,7 @@
 import collections
 
 import tests.wire as wires
-from ebonystile.core.calls import call, events, ledger, state
+from ebonystile.core.calls import call, events, ledger, progress, state
 
 LATE_MS = call.SETTLE_GRACE + call.RESEND_LIMIT
 """A final word is later than promised if it comes this long after its deadline."""
@@ -62,7 +62,7 @@
         self.path = path
         self.deadline = deadline
         self.idempotent = idempotent
-        self.result: call.Result | None = None
+        self.result: progress.Result | None = None
         self.told_at = 0
 
 
@@ -123,10 +123,10 @@
             continue
         if asked.told_at > asked.deadline + LATE_MS:
             checks.fault(f"{label}: the final word came {asked.told_at - asked.deadline} ms late")
-        if asked.result.outcome is call.Outcome.ANSWERED:
+        if asked.result.outcome is progress.Outcome.ANSWERED:
             if asked.result.body != checks.wire.answer_to(asked.path, asked.body):
                 checks.fault(f"{label}: a wrong answer")
-        elif asked.result.outcome is call.Outcome.NOT_RUN and checks.wire.all_runs[request]:
+        elif asked.result.outcome is progress.Outcome.NOT_RUN and checks.wire.all_runs[request]:
             checks.fault(f"{label}: told not run, but it ran")
 
 
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -13,7 +13,7 @@
 
 import tests.checks as checking
 import tests.wire as wires
-from ebonystile.core.calls import call, events, sidecar
+from ebonystile.core.calls import call, events, progress, sidecar
 
 PHOTOS = "photos"
 DEADLINE = 3_000
@@ -223,7 +223,7 @@
         if not any(h.core and h.core.serving(wires.SERVICE) for h in self.wire.homes.values()):
             return
         for result in (self.checks.asked[probe].result for probe in probes):
-            if result is None or result.outcome is not call.Outcome.ANSWERED:
+            if result is None or result.outcome is not progress.Outcome.ANSWERED:
                 self.checks.fault(f"healed, but a request ended as {result and result.reason!r}")
         if not moved:
             self.checks.fault("healed, but the feed stands still")
@@ -269,7 +269,7 @@
                 asked.result = result
                 asked.told_at = self.caller_clock(caller)
                 elapsed = self.wire.now - wires.START
-                if result.outcome is call.Outcome.NOT_RUN and elapsed < ACTIVE_MS:
+                if result.outcome is progress.Outcome.NOT_RUN and elapsed < ACTIVE_MS:
                     again = functools.partial(
                         self.send_again, caller, asked.path, asked.body, asked.idempotent
                     )
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -7,6 +7,7 @@
 
 TESTS = (
     "tests/test_safeguards.py",
+    "tests/test_call.py",
     "tests/test_seal.py",
     "tests/test_handover_faults.py",
     "tests/test_path.py",
@@ -328,13 +329,13 @@
     ),
     Mutation(
         "unknown flow confirmed before it is believed",
-        CORE + "calls/call.py",
+        CORE + "calls/progress.py",
         "UNKNOWN_LIMIT = 3",
         "UNKNOWN_LIMIT = 1",
     ),
     Mutation(
         "unknown flow counted once a resend",
-        CORE + "calls/call.py",
+        CORE + "calls/progress.py",
         "if now >= self.next_at:",
         "if now >= 0:",
     ),
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -4,9 +4,9 @@
 
 from ebonystile import clock, errors
 from ebonystile.caller import budget, client
-from ebonystile.core.calls import call
+from ebonystile.core.calls import progress
 
-ANSWER = call.Result(b"r", call.Outcome.ANSWERED, 200, b"done")
+ANSWER = progress.Result(b"r", progress.Outcome.ANSWERED, 200, b"done")
 
 
 def not_run(wait=0):
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -4,7 +4,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 import tests.wire as wires
-from ebonystile.core.calls import call, events
+from ebonystile.core.calls import events, progress
 
 scenarios("features/promises.feature")
 
@@ -150,7 +150,7 @@
 @then("the adjuster is told at once that it was not run")
 def told(stage):
     asked_at = stage.wire.now
-    assert stage.outcome().outcome is call.Outcome.NOT_RUN
+    assert stage.outcome().outcome is progress.Outcome.NOT_RUN
     assert stage.wire.now - asked_at < 500
 
 
@@ -187,7 +187,7 @@
 
 @then("the crew has the answer")
 def answered(stage):
-    assert stage.outcome().outcome is call.Outcome.ANSWERED
+    assert stage.outcome().outcome is progress.Outcome.ANSWERED
 
 
 @when("the home of its flow dies while it runs the defect report")
@@ -200,7 +200,7 @@
 
 @then("the crew is told that the outcome is unknown")
 def unknown(stage):
-    assert stage.outcome().outcome is call.Outcome.UNKNOWN
+    assert stage.outcome().outcome is progress.Outcome.UNKNOWN
 
 
 @given("callers send requests all the time")
@@ -238,7 +238,7 @@
 def elsewhere(stage):
     stage.wire.run(SOON)
     for caller, request, _ in stage.asked[-20:]:
-        assert stage.outcome(caller, request).outcome is call.Outcome.ANSWERED
+        assert stage.outcome(caller, request).outcome is progress.Outcome.ANSWERED
 
 
 @when("the upstream is told to stop while it runs the defect report")
--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -4,7 +4,7 @@
 
 import tests.wire as wires
 from ebonystile.core import view
-from ebonystile.core.calls import call, flows, sidecar
+from ebonystile.core.calls import flows, progress, sidecar
 from ebonystile.peer import transfer
 
 FLOW = b"f" * 16
@@ -50,7 +50,7 @@
     wire.publish({wires.SERVICE: list(wire.homes.values())}, leaving={idle.name})
     run_until(wire, lambda: caller.outcomes)
     wire.run(10_000)
-    assert caller.outcomes[0].outcome is call.Outcome.ANSWERED
+    assert caller.outcomes[0].outcome is progress.Outcome.ANSWERED
     assert wire.all_runs[request] == 1
     assert caller.flow in home.core.flows
 
@@ -116,7 +116,9 @@
     request = caller.request("report", b"r", wire.now + 5_000, False, wire.now)
     wire.run(6_000)
     assert caller.subscriptions[feed].position > seen + 50
-    assert [o.outcome for o in caller.outcomes if o.request == request] == [call.Outcome.ANSWERED]
+    assert [o.outcome for o in caller.outcomes if o.request == request] == [
+        progress.Outcome.ANSWERED
+    ]
 
 
 @pytest.mark.parametrize("seed", range(3))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,7 +1,7 @@
 """Show that a stop ends in its bound, also where no sibling is left to take the flows over."""
 
 import tests.wire as wires
-from ebonystile.core.calls import call, events, sidecar
+from ebonystile.core.calls import events, progress, sidecar
 
 STOP_MS = 30_000
 """Time that common supervisors give a process between SIGTERM and SIGKILL, in ms."""
@@ -62,7 +62,7 @@
     assert wire.run(10_000, lambda: sidecar.drained(old.core))
     request = caller.request("report", b"r", wire.now + 5_000, False, wire.now)
     assert wire.run(5_000, lambda: caller.outcomes)
-    assert [o.outcome for o in caller.outcomes] == [call.Outcome.ANSWERED]
+    assert [o.outcome for o in caller.outcomes] == [progress.Outcome.ANSWERED]
     assert new.runs[request] == 1
     assert wire.traces_of("opened") == [old.name]
 
--- a/tests/test_matrix_pairs.py
+++ b/tests/test_matrix_pairs.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ebonystile.core.calls import call
+from ebonystile.core.calls import progress
 from tests import matrix
 
 
@@ -24,7 +24,7 @@
         assert day.play() == []
         assert [caller.reopened for caller in day.callers] == [0, 0, 0, 0]
         ended = [a for a in day.checks.asked.values() if a.path != "slow/600"]
-        assert all(a.result.outcome is not call.Outcome.UNKNOWN for a in ended)
+        assert all(a.result.outcome is not progress.Outcome.UNKNOWN for a in ended)
 
 
 def test_same_case_gives_the_same_run():
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,7 +5,7 @@
 import pytest
 
 import tests.wire as wires
-from ebonystile.core.calls import call, events, state
+from ebonystile.core.calls import events, progress, state
 
 
 def outcome_of(wire, caller, request, within=20_000):
@@ -20,7 +20,7 @@
     caller = wire.add_caller()
     request = caller.request("reports", b"x" * size, wire.now + 10_000, False, wire.now)
     result = outcome_of(wire, caller, request)
-    assert result.outcome is call.Outcome.ANSWERED
+    assert result.outcome is progress.Outcome.ANSWERED
     assert result.body == b"done:" + b"x" * min(size, 100)
     assert wire.all_runs[request] == 1
 
@@ -54,7 +54,7 @@
     ]
     for caller, request in sent:
         result = outcome_of(wire, caller, request)
-        assert result.outcome is call.Outcome.ANSWERED
+        assert result.outcome is progress.Outcome.ANSWERED
         assert len(result.body) == 20_000
         assert wire.all_runs[request] == 1
 
@@ -132,7 +132,7 @@
     assert positions == list(range(901, 901 + len(positions)))
     assert len(positions) > 100
     outcomes = {o.request: o for o in caller.outcomes}
-    ran = [r for r in reports if outcomes[r].outcome is call.Outcome.ANSWERED]
+    ran = [r for r in reports if outcomes[r].outcome is progress.Outcome.ANSWERED]
     assert all(wire.all_runs[r] == 1 for r in ran)
     assert all(wire.all_runs[r] == 0 for r in set(reports) - set(ran))
     assert caller.reopened == 0
@@ -149,7 +149,7 @@
     home = next(h for h in wire.homes.values() if h.runs)
     wire.post(home, events.Leave("SIGTERM"))
     result = outcome_of(wire, caller, request)
-    assert result.outcome is call.Outcome.ANSWERED
+    assert result.outcome is progress.Outcome.ANSWERED
     wire.run(2_000)
     assert home.core.flows[caller.flow].moved_to is not None
 
@@ -167,7 +167,7 @@
     wire.judge = lambda *_: [] if wire.rng.random() < 0.2 else [wires.HOP_MS]
     wire.run(36_000)
     request = caller.request("reports", b"r", wire.now + 20_000, False, wire.now)
-    assert outcome_of(wire, caller, request).outcome is call.Outcome.ANSWERED
+    assert outcome_of(wire, caller, request).outcome is progress.Outcome.ANSWERED
     assert caller.flow == flow
 
 
--- a/tests/test_processes_faults.py
+++ b/tests/test_processes_faults.py
@@ -10,7 +10,7 @@
 
 from ebonystile import clock
 from ebonystile.caller import client
-from ebonystile.core.calls import call
+from ebonystile.core.calls import progress
 from standins import system
 from tests import cutter
 
@@ -75,9 +75,9 @@
     """Check the final word against what the upstreams counted."""
     runs = runs_of(running, request)
     assert runs <= 1
-    if result.outcome is call.Outcome.NOT_RUN:
+    if result.outcome is progress.Outcome.NOT_RUN:
         assert runs == 0
-    if result.outcome is call.Outcome.ANSWERED:
+    if result.outcome is progress.Outcome.ANSWERED:
         assert runs == 1
 
 
@@ -100,7 +100,7 @@
     killed = running.balancers.pop("entry-0")
     killed.child.signal(signal.SIGKILL)
     result = future.result(WAIT_S)
-    assert result.outcome is call.Outcome.ANSWERED
+    assert result.outcome is progress.Outcome.ANSWERED
     assert_truthful(running, future.request, result)
     assert next_positions(feed, 30) == list(range(first + 1, first + 31))
 
@@ -124,7 +124,7 @@
     running.label(home.name, None)
     running.enlist(home.name, "upstream", home.port, ZONE, "gone")
     result = future.result(WAIT_S)
-    assert result.outcome is call.Outcome.UNKNOWN
+    assert result.outcome is progress.Outcome.UNKNOWN
     assert runs_of(running, future.request) == len(
         [s for s in running.sidecars if s.upstream is home.upstream]
     )
@@ -140,7 +140,7 @@
     home.upstream.signal(signal.SIGKILL)
     home.upstream = None
     result = future.result(WAIT_S)
-    assert result.outcome is call.Outcome.UNKNOWN
+    assert result.outcome is progress.Outcome.UNKNOWN
     assert clock.now() < deadline
     assert runs_of(running, future.request) == 0
 
@@ -152,7 +152,7 @@
     """
     flow = running.caller.open("ledger", soon())
     first = begin(flow, soon())
-    assert first.result(WAIT_S).outcome is call.Outcome.ANSWERED
+    assert first.result(WAIT_S).outcome is progress.Outcome.ANSWERED
     for sidecar in running.sidecars:
         sidecar.child.signal(signal.SIGSTOP)
     future = begin(flow, soon(1_000))
@@ -161,7 +161,7 @@
     for sidecar in running.sidecars:
         sidecar.child.signal(signal.SIGCONT)
     result = future.result(WAIT_S)
-    assert result.outcome is not call.Outcome.ANSWERED
+    assert result.outcome is not progress.Outcome.ANSWERED
     after = begin(flow, soon())
     assert_truthful(running, after.request, after.result(WAIT_S))
     assert runs_of(running, future.request) == 0
@@ -179,7 +179,7 @@
     time.sleep(4)
     home.child.signal(signal.SIGCONT)
     result = future.result(WAIT_S)
-    assert result.outcome is call.Outcome.ANSWERED
+    assert result.outcome is progress.Outcome.ANSWERED
     assert_truthful(running, future.request, result)
 
 
@@ -195,14 +195,14 @@
     future = begin(flow, soon())
     home = where_it_runs(running, future.request)
     home.child.signal(signal.SIGTERM)
-    assert future.result(WAIT_S).outcome is call.Outcome.ANSWERED
+    assert future.result(WAIT_S).outcome is progress.Outcome.ANSWERED
     assert home.child.wait(WAIT_S) == 0
     running.platform.post("standin/mode", {"mode": "older", "revision": 1})
     other = running.caller.open("ledger", soon())
     for used in (flow, other):
         demand = begin(used, soon())
         result = demand.result(WAIT_S)
-        assert result.outcome is call.Outcome.ANSWERED
+        assert result.outcome is progress.Outcome.ANSWERED
         assert_truthful(running, demand.request, result)
     assert next_positions(feed, 30) == list(range(first + 1, first + 31))
 
@@ -220,7 +220,7 @@
         feed = flow.subscribe("balances", 900)
         future = begin(flow, soon(WAIT_S * 1000))
         result = future.result(WAIT_S + 5)
-        assert result.outcome is call.Outcome.ANSWERED
+        assert result.outcome is progress.Outcome.ANSWERED
         assert_truthful(running, future.request, result)
         assert next_positions(feed, 20) == list(range(901, 921))
         flow.close()
@@ -258,9 +258,9 @@
     under_way = begin(flow, soon(WAIT_S * 1000))
     where_it_runs(running, under_way.request)
     running.cutter.cut()
-    assert under_way.result(WAIT_S).outcome is call.Outcome.UNKNOWN
+    assert under_way.result(WAIT_S).outcome is progress.Outcome.UNKNOWN
     refused = begin(flow, soon(WAIT_S * 1000))
-    assert refused.result(WAIT_S).outcome is call.Outcome.NOT_RUN
+    assert refused.result(WAIT_S).outcome is progress.Outcome.NOT_RUN
     running.cutter.heal()
     assert_truthful(running, under_way.request, under_way.result())
     assert_truthful(running, refused.request, refused.result())
@@ -274,7 +274,7 @@
         future = begin(flow, soon())
         result = future.result(WAIT_S)
         assert_truthful(running, future.request, result)
-        if result.outcome is call.Outcome.ANSWERED:
+        if result.outcome is progress.Outcome.ANSWERED:
             return True
         time.sleep(clock.seconds_until(result.retry_at))
     return False
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -5,7 +5,7 @@
 import tests.wire as wires
 from ebonystile.caller import messages as caller_messages
 from ebonystile.core import view
-from ebonystile.core.calls import call, events, fairness, siblings
+from ebonystile.core.calls import events, fairness, progress, siblings
 from ebonystile.core.placing import balance
 from ebonystile.peer import messages
 
@@ -151,7 +151,7 @@
     caller.outcomes.clear()
     sent = [caller.request("p", b"", wire.now + 500, False, wire.now) for _ in range(10)]
     wire.run(60)
-    refused = [o for o in caller.outcomes if o.outcome is call.Outcome.NOT_RUN]
+    refused = [o for o in caller.outcomes if o.outcome is progress.Outcome.NOT_RUN]
     assert len(refused) == 8
     assert all(o.retry_at > sent_at + 200 for o in refused)
     assert len({o.retry_at for o in refused}) > 4
