Let the mutants of a leaving sidecar be seen by the tests of leaving

12 mutants tried: 9 caught at once; the three of leaving survived since tests/test_leaving.py was not among the tests that they are given. With it all three are caught (run on these tests alone).

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -8,6 +8,7 @@
 TESTS = (
     "tests/test_safeguards.py",
     "tests/test_call.py",
+    "tests/test_leaving.py",
     "tests/test_seal.py",
     "tests/test_handover_faults.py",
     "tests/test_path.py",
