Give a daemon of the stand-in installation no port twice

Found on the way: six ports were taken one after the other, each freed before the next, so one could come twice, and a daemon with one port for two purposes ends at its start.

--- a/standins/installation.py
+++ b/standins/installation.py
@@ -22,7 +22,7 @@
 
 from ebonystile.core.carrying import packet
 from ebonystile.platform import packets
-from standins import ends, store
+from standins import ends, store, system
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SERVICE = "line-status"
@@ -44,12 +44,14 @@
 
 
 def free_ports() -> Ports:
-    """Return ports that nobody uses on the loopback range just now."""
-    found = []
-    for _ in dataclasses.fields(Ports):
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            found.append(probe.getsockname()[1])
+    """Return ports that nobody uses just now, each of them once.
+
+    The kernel may give a port that was freed a moment ago again; a daemon that got one port for two
+    purposes ended at its start.
+    """
+    found: set[int] = set()
+    while len(found) < len(dataclasses.fields(Ports)):
+        found.add(system.free_port())
     return Ports(*found)
 
 
