--- a/src/ebonystile/platform/node.py
+++ b/src/ebonystile/platform/node.py
@@ -27,7 +27,8 @@
     "ready": "where the platform asks whether packets may come",
     "internal_port": "where the system's processes hear one another, by UDP and TCP",
     "store": "the platform's store",
-    "seeds": "processes to ask while the store can't be read at the start",
+    "seeds": "balancers to ask while the store can't be read at the start, and about sidecars "
+    "whose upstreams have no entry",
     "from_upstream": "sidecars: where the upstream sends its packets",
     "upstream": "sidecars: where the upstream takes packets",
     "service": "sidecars: the upstream's service",
