Let a seed that can't name all sidecars without an entry vouch for nothing

Cause, found in reading the change: an answer names 16 sidecars at most, and told the asker all the same for how long the seed had listened. With more than 16 upstreams without an entry (the store loses all entries, then every process is killed) the asker took its view for sure after 0.4 s, and would have reset flows of upstreams that live but were left out. With 16 or fewer nothing changes.

Change: the seed then says that it has not listened, and the asker waits for the 1 s. Ruled out: longer answers, which only move the limit.

--- a/src/ebonystile/core/carrying/announcing.py
+++ b/src/ebonystile/core/carrying/announcing.py
@@ -126,9 +126,14 @@
 
 
 def answer(known: fleet.Fleet, started_at: int, now: int) -> messages.AnswerUnlisted:
-    """Return what this process tells of sidecars without an entry."""
+    """Return what this process tells of sidecars without an entry.
+
+    If there are more than one answer holds, it says that it has not listened: the asker must not
+    take its view for sure, and tell callers of those left out that their flows are gone.
+    """
     told = [
         messages.Unlisted(upstream.address, upstream.service, upstream.zone)
         for upstream in known.perhaps_alive()
     ]
-    return messages.AnswerUnlisted(now - started_at, tuple(told[-MOST_TOLD:]))
+    listening = now - started_at if len(told) <= MOST_TOLD else 0
+    return messages.AnswerUnlisted(listening, tuple(told[-MOST_TOLD:]))
--- a/tests/carrying/test_announcing.py
+++ b/tests/carrying/test_announcing.py
@@ -177,6 +177,25 @@
     assert len(sent.message.sidecars) == announcing.MOST_TOLD
 
 
+def test_a_seed_that_can_t_name_all_sidecars_without_an_entry_vouches_for_nothing():
+    """The store has lost all entries in an outage, and every process has just started.
+
+    The seed has heard more sidecars than one answer holds. If its word made the asker's view sure,
+    callers of the upstreams that it left out would be told that their flows are gone.
+    """
+    scene = world.World(balancers=2)
+    seed, asker = scene.balancers
+    seed_with(scene, seed)
+    for number in range(announcing.MOST_TOLD + 1):
+        source = (f"10.9.0.{number}", 7720)
+        seed.core.on_message(messages.Announce("s", "a", False, False), None, source, scene.now)
+    scene.run(announcing.VOUCHED_MS)
+    view_begins(scene, [asker])
+    (sent,) = seed.core.on_message(messages.AskUnlisted(), None, asker.address, scene.now)
+    asker.core.on_message(sent.message, None, seed.address, scene.now)
+    assert not asker.core.sure(scene.now)
+
+
 def test_a_balancer_reads_from_a_sidecar_that_offers_itself():
     scene = world.World(balancers=1)
     source = scene.sidecars[0].address
