Tell callers of lost flows sooner after a loss of power of everything

The three seeds, whose word makes a view sure, are the last to start (0.2 to 0.3 s after the others on every deployment), and searches took 84 ms by design.

- A sidecar whose list holds its upstream's entry and the former one at that address knows that both ended within a lease: it is sure at once.
One whose upstream has no entry and does not react to what it is shown is sure as well.
- One search in which everybody said no decides; those without an entry are asked in it, and silent ones not again for a second.
- Four sidecars of the list are witnesses beside the seeds: three that have listened for 0.5 s with an unchanged list make a view sure.
- Before the view is sure a flow is shown to those it was likely placed on only; their order is the one of the placing, other zones included.
- The first reads of a start may be old (a tenth of a call), followed at once by a watch that does not wait.

Ruled out: load of the balancers (0.02 cores), the store (answers in 4 ms). Tests fail without it.

--- a/src/ebonystile/core/carrying/announcing.py
+++ b/src/ebonystile/core/carrying/announcing.py
@@ -3,10 +3,12 @@
 An upstream that lives may have no entry: the store was away for longer than entries last, or can't
 hear that upstream. A balancer that has just started would find its flows nowhere, and one that
 starts while the store is away would know no sidecar at all. So sidecars tell the seeds, the few
-balancers whose addresses stand in everybody's settings, and balancers ask those.
+balancers whose addresses stand in everybody's settings, and the witnesses, a few sidecars that
+everybody finds in the list; balancers ask those.
 """
 
 import dataclasses
+import heapq
 
 from ebonystile.core import view
 from ebonystile.core.carrying import effects, fleet, messages
@@ -36,6 +38,14 @@
 requests failed where all instances lost power once; with this 1.8% (17 instances, six days).
 """
 
+WITNESSES, WITNESSES_AGREED = 4, 3
+"""Sidecars that are told of those without an entry, and how many of them must agree that they have
+heard of all. One more or less in a reader's list changes one of the four at most."""
+
+WITNESSED_MS = 500
+"""How long a witness must have listened, its list unchanged, in ms: instances that lost power
+together start within 300 ms of one another, and one of two announcements may be lost."""
+
 ASK_EVERY_MS = 100
 ASK_FOR_MS = 1_000
 """How often, and for how long, a balancer asks the seeds, in ms; by then its view is sure without
@@ -55,7 +65,9 @@
         self.unlisted_since: int | None = None
         self.announced_at: int | None = None
 
-    def due(self, service: str, listed: bool, now: int) -> list[effects.Effect]:
+    def due(
+        self, service: str, listed: bool, now: int, witnesses: tuple[view.Address, ...] = ()
+    ) -> list[effects.Effect]:
         """Return the announcements to be sent now, at a tick or after a change of the view."""
         if listed:
             self.unlisted_since = None
@@ -70,7 +82,8 @@
             return []
         self.announced_at = now
         announced = messages.Announce(service, self.zone, listed, self.relays)
-        return [effects.Send(seed, announced) for seed in self.seeds]
+        told = self.seeds if listed else (*self.seeds, *witnesses)
+        return [effects.Send(address, announced) for address in told]
 
     def pause(self) -> int:
         """Return the time between two announcements, in ms."""
@@ -79,10 +92,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Vouching:
-    """What the seeds say to one balancer about sidecars without an entry.
+    """What seeds and witnesses say to one balancer about sidecars without an entry.
 
-    `vouched` is set once a seed that has listened for long enough has answered since the view is
-    there; `ask_at` is when the seeds are asked next and `give_up_at` when no more, in ms.
+    `vouched` is set once a seed that has listened for long enough, or most of the witnesses, have
+    answered since the view is there. They are asked next at `ask_at` and no more from `give_up_at`
+    on; `seeds_from` is when a seed's word may be taken, all in ms.
     """
 
     seeds: tuple[view.Address, ...]
@@ -91,29 +105,53 @@
     vouched: bool = False
     ask_at: int | None = None
     give_up_at: int = 0
+    seeds_from: int = 0
+    agreed: set[view.Address] = dataclasses.field(default_factory=set)
 
     def view_began(self, now: int) -> None:
         """Note that the view is the store's present word from now on."""
         self.vouched = False
-        self.ask_at = now + VOUCHED_MS if self.seeds or self.is_seed else None
+        self.agreed.clear()
+        self.ask_at = now
+        self.seeds_from = now + VOUCHED_MS
         self.give_up_at = now + ASK_FOR_MS
 
-    def ask(self, now: int) -> list[effects.Effect]:
+    def ask(self, witnesses: tuple[view.Address, ...], now: int) -> list[effects.Effect]:
         """Return the questions that are due, none once there was an answer that holds."""
         if self.ask_at is None or self.ask_at > now:
             return []
-        if self.is_seed and now - self.started_at >= VOUCHED_MS:
-            self.vouched = True
-            self.ask_at = None
+        by_seeds = now >= self.seeds_from
+        if by_seeds and self.is_seed and now - self.started_at >= VOUCHED_MS:
+            self.settle()
             return []
         self.ask_at = now + ASK_EVERY_MS if now < self.give_up_at else None
-        return [effects.Send(seed, messages.AskUnlisted()) for seed in self.seeds]
-
-    def take(self, listening: int) -> None:
-        """Take the word of a seed that has listened for so long, in ms."""
-        if listening >= VOUCHED_MS and self.ask_at is not None:
-            self.vouched = True
-            self.ask_at = None
+        asked = (*witnesses, *self.seeds) if by_seeds else witnesses
+        return [effects.Send(address, messages.AskUnlisted()) for address in asked]
+
+    def take(
+        self, source: view.Address, listening: int, witnesses: tuple[view.Address, ...]
+    ) -> None:
+        """Take the word of a seed or a witness that has listened for so long, in ms."""
+        if self.ask_at is None:
+            return
+        if source in self.seeds and listening >= VOUCHED_MS:
+            self.settle()
+        if source not in witnesses or listening < WITNESSED_MS:
+            return
+        self.agreed.add(source)
+        if len(self.agreed.intersection(witnesses)) >= WITNESSES_AGREED:
+            self.settle()
+
+    def settle(self) -> None:
+        """Take the view for whole, and ask no more."""
+        self.vouched = True
+        self.ask_at = None
+
+
+def witnesses_of(known: fleet.Fleet) -> tuple[view.Address, ...]:
+    """Return the sidecars that everybody with this list tells and asks."""
+    listed = known.by_address.values()
+    return tuple(u.address for u in heapq.nsmallest(WITNESSES, listed, key=lambda u: u.key))
 
 
 def note(known: fleet.Fleet, sidecar: messages.Unlisted, until: int) -> None:
@@ -125,8 +163,8 @@
     known.note_departed(made, until)
 
 
-def answer(known: fleet.Fleet, started_at: int, now: int) -> messages.AnswerUnlisted:
-    """Return what this process tells of sidecars without an entry.
+def answer(known: fleet.Fleet, listening: int) -> messages.AnswerUnlisted:
+    """Return what this process, which has listened for so many ms, tells of those without an entry.
 
     If there are more than one answer holds, it says that it has not listened: the asker must not
     take its view for sure, and tell callers of those left out that their flows are gone.
@@ -135,5 +173,5 @@
         messages.Unlisted(upstream.address, upstream.service, upstream.zone)
         for upstream in known.perhaps_alive()
     ]
-    listening = now - started_at if len(told) <= MOST_TOLD else 0
-    return messages.AnswerUnlisted(listening, tuple(told[-MOST_TOLD:]))
+    heard_all = len(told) <= MOST_TOLD
+    return messages.AnswerUnlisted(listening if heard_all else 0, tuple(told[-MOST_TOLD:]))
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -98,7 +98,8 @@
             return self.nobody(shown)
         if not begun.goes_on:
             # Right after its return the store's list may be empty while all upstreams live.
-            self.decide_later(shown, now)
+            self.nowhere.setdefault(shown.flow, now)
+            self.decide_later(shown)
             return []
         self.searches[shown.flow] = begun
         self.finding += not begun.opening
@@ -152,7 +153,7 @@
 
     def on_due(self, now: int) -> list[effects.Effect]:
         """Go on with the searches that are due."""
-        todo = self.vouching.ask(now)
+        todo = self.ask_unlisted(now)
         if self.undecided:
             todo.extend(self.begin_undecided(now))
         if self.batch.due is not None and self.batch.due <= now:
@@ -167,6 +168,12 @@
             due = self.next_search_due()
         return [*todo, *self.begin_queued(now)]
 
+    def ask_unlisted(self, now: int) -> list[effects.Effect]:
+        """Ask which sidecars have no entry, if that is due."""
+        if self.vouching.ask_at is None or self.vouching.ask_at > now:
+            return []
+        return self.vouching.ask(announcing.witnesses_of(self.fleet), now)
+
     def on_tick(self, now: int) -> list[effects.Effect]:
         """Forget what is over, and ask somebody while nobody answers, to notice the end of that."""
         self.fleet.expire(now)
@@ -218,24 +225,26 @@
         last = found.packets[-1]
         missing = [u for u in found.unanswered() if self.fleet.lives(u)]
         nowhere = not missing and not found.unsure()
-        if nowhere and found.opening:
-            nowhere = self.view_fresh
-        elif nowhere and not self.sure(now):
-            nowhere = False
-            self.decide_later(last, now)
-        elif nowhere and not finding.confirmed(self, found, now):
-            nowhere = False
-            if not found.looked_before and not last.aborts:
+        if found.opening:
+            over = nowhere and self.view_fresh
+        elif not self.sure(now):
+            over = False
+            if nowhere:
+                self.nowhere.setdefault(found.flow, now)
+            self.decide_later(last)
+        else:
+            over = nowhere and finding.confirmed(self, found, now)
+            if nowhere and not over and not found.looked_before and not last.aborts:
                 return finding.look_again(self, found.packets, now, now + finding.CONFIRM_MS)
         traced = effects.trace(
             "not_placed" if found.opening else "not_found",
             flow=packet.flow_text(found.flow),
             asked=len(found.asked),
             answered=len(found.answers),
-            reset=nowhere,
+            reset=over,
             searched_ms=now - found.started_at,
         )
-        if not nowhere or last.aborts:
+        if not over or last.aborts:
             return [traced]
         self.homes.pop(found.flow, None)
         return [traced, effects.Reset(found.flow, last.acknowledged)]
@@ -279,14 +288,15 @@
 
 @act.register
 def _(message: messages.AskUnlisted, balancer, shown, source, now):
-    return [effects.Send(source, announcing.answer(balancer.fleet, balancer.started_at, now))]
+    return [effects.Send(source, announcing.answer(balancer.fleet, now - balancer.started_at))]
 
 
 @act.register
 def _(message: messages.AnswerUnlisted, balancer, shown, source, now):
     for sidecar in message.sidecars:
         announcing.note(balancer.fleet, sidecar, now + announcing.ASKER_KEEPS_MS)
-    balancer.vouching.take(message.listening)
+    witnesses = announcing.witnesses_of(balancer.fleet)
+    balancer.vouching.take(source, message.listening, witnesses)
     return []
 
 
--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -43,12 +43,23 @@
     first = likely[: search.FIRST_WAVE] if known.finding < FINDING_SINGLY else []
     if first:
         begun.waves = [first]
-    if len(known.fleet.by_address) > len(first):
-        others = (u for u in known.fleet.by_address.values() if u.service not in names)
+    others = [u for u in known.fleet.by_address.values() if u.service not in names]
+    others += without_entry(known)
+    if others or len(likely) > len(first):
         begun.later = functools.partial(search.later_waves, likely[len(first) :], others)
     return begun
 
 
+def without_entry(known: state.State) -> list[fleet.Upstream]:
+    """Return the upstreams without an entry whose sidecars may answer.
+
+    One that the store can't hear serves its flows all the same, and a balancer that has not had
+    such a flow before would tell its caller that it is over. Most are gone, though, and don't
+    answer: they are asked again after a while only, or each caller of a lost flow would wait.
+    """
+    return [u for u in known.fleet.perhaps_alive() if u.address not in known.silence]
+
+
 def queue(known: state.State, shown: packet.Packet, now: int) -> None:
     """Let a packet of an open flow wait until fewer flows are looked for."""
     if len(known.queued) < MAX_QUEUED:
@@ -92,9 +103,14 @@
     shown the packet: several foreign packets of a flow and none at home would look like a
     flow that was moved. Where most of the first wave are unsure, all have started together,
     and the home is likely one of the wave: they are shown the packet before all others.
+
+    The others wait until the view is sure. Before that nobody can be told that a flow is over,
+    and to show all flows to all upstreams would hold up those flows that live.
     """
     if not found.shown:
         unsure = unsure[: search.FIRST_WAVE]
+    elif not known.sure(now):
+        unsure = unsure[: max(0, search.SHOWN_EARLY - len(found.shown))]
     if not found.all_answered():
         unsure = unsure[: max(0, search.SHOWN_BLIND - len(found.shown))]
     if not unsure:
@@ -127,7 +143,7 @@
 
 def ask_batch(known: state.State, now: int) -> list[effects.Effect]:
     """Ask everybody about the searches that wait for that, in one message each."""
-    wanted = len(known.fleet.by_address)
+    wanted = min(len(known.fleet.by_address), search.LATER_WAVE)
     if not known.wide.take(wanted, now):
         known.batch.due = max(now + 1, known.wide.ready_at(wanted, now))
         return []
@@ -163,15 +179,18 @@
 
 
 def confirmed(known: state.State, found: search.Search, now: int) -> bool:
-    """Tell whether the flow's upstream is gone, or two searches in a row found it nowhere.
+    """Tell whether the flow's upstream is gone, or is surely nowhere.
 
-    An upstream that was shown a packet in both and has neither returned nor answered one does
-    not serve the flow: one that lives acknowledges the second packet at once.
+    One search is enough if everybody there is has said no. If not, two in a row must have found the
+    flow nowhere. An upstream that was shown a packet in both and has neither returned nor answered
+    one does not serve the flow: one that lives acknowledges the second packet at once.
     """
     if found.previous is not None and not known.fleet.lives(found.previous.upstream):
         return True
     if found.revision > known.revision:
         return False
+    if found.settled():
+        return True
     first = known.nowhere.setdefault(found.flow, now)
     return now - first >= CONFIRM_MS
 
@@ -179,17 +198,11 @@
 def look_again(
     known: state.State, packets: list[packet.Packet], now: int, due: int
 ) -> list[effects.Effect]:
-    """Search a second time, at the time `due`, after the flow was found nowhere.
-
-    Sidecars whose upstreams have no entry any more are asked as well: an upstream that the store
-    can't hear serves its flows all the same, and a balancer that has not had such a flow before
-    would tell its caller that it is over. Most of them are gone and don't answer, which costs the
-    others' callers one wave.
-    """
+    """Search a second time, at the time `due`, after the flow was found nowhere."""
     again = search_for(known, packets[0], now)
     again.packets = packets
     again.waves = []
-    everybody = [*known.fleet.by_address.values(), *known.fleet.perhaps_alive()]
+    everybody = [*known.fleet.by_address.values(), *without_entry(known)]
     again.later = functools.partial(search.later_waves, everybody, ())
     again.looked_before = True
     known.searches[again.flow] = again
--- a/src/ebonystile/core/carrying/fleet.py
+++ b/src/ebonystile/core/carrying/fleet.py
@@ -108,12 +108,14 @@
         self.fading: dict[str, int] = {}
         self.departed: dict[view.Address, tuple[Upstream, int]] = {}
         self.indexed: Index | None = None
+        self.added = 0
 
     def put(self, upstream: Upstream) -> None:
         """Take in what an upstream says of itself now."""
         self.fading.pop(upstream.name, None)
         if self.upstreams.get(upstream.name) == upstream:
             return
+        self.added += upstream.name not in self.upstreams
         self.upstreams[upstream.name] = upstream
         self.indexed = None
 
@@ -163,6 +165,11 @@
         """Return the upstreams without an entry whose address nobody else has taken."""
         return [gone for a, (gone, _) in self.departed.items() if a not in self.by_address]
 
+    def predecessor(self, upstream: Upstream) -> Upstream | None:
+        """Return an older start at the upstream's address whose entry still stands, if any."""
+        others = (u for u in self.upstreams.values() if u.address == upstream.address)
+        return next((u for u in others if age(u) < age(upstream)), None)
+
     def lives(self, upstream: Upstream) -> bool:
         """Tell whether that very start of the upstream is still listed."""
         known = self.upstreams.get(upstream.name)
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -161,12 +161,12 @@
 def order(
     flow: packet.Flow, upstreams: typing.Iterable[fleet.Upstream], zone: str
 ) -> list[fleet.Upstream]:
-    """Return the upstreams in the order of asking: this zone's first, each group by rank.
+    """Return the upstreams in the order in which they are asked to take a new flow.
 
     Every copy of an opening packet gives the same order through any balancer of the zone.
     """
     near, far = split(upstreams, zone)
-    return ranking.rank(flow, near) + ranking.rank(flow, far)
+    return [*first_wave(flow, near), *further(flow, near, far)]
 
 
 def split(
@@ -184,10 +184,17 @@
     return ranking.rank(flow, near)[:NEAR]
 
 
+def further(
+    flow: packet.Flow, near: list[fleet.Upstream], far: list[fleet.Upstream]
+) -> list[fleet.Upstream]:
+    """Return the upstreams after the first wave, other availability zones' before the own."""
+    return ranking.rank(flow, far) + ranking.rank(flow, near)[NEAR:]
+
+
 def later_waves(
     flow: packet.Flow, near: list[fleet.Upstream], far: list[fleet.Upstream]
 ) -> list[list[fleet.Upstream]]:
     """Return whom to ask if the first are busy or silent, and last."""
-    rest = ranking.rank(flow, far) + ranking.rank(flow, near)[NEAR:]
+    rest = further(flow, near, far)
     groups = [rest[:CANDIDATES], rest[CANDIDATES : 3 * CANDIDATES]]
     return [group for group in groups if group]
--- a/src/ebonystile/core/carrying/reading.py
+++ b/src/ebonystile/core/carrying/reading.py
@@ -1,8 +1,10 @@
 """Decide which call of the platform's store comes next, and how far the view can be trusted.
 
 The store is read once in full and then watched from the revision of the first page, so that what
-changed while the pages came is seen again. A call has a short limit of its own: a connection may
-fall silent for good, and a process that waits on it would route by an old view.
+changed while the pages came is seen again. At a start an old state of it will do, which costs a
+tenth of a call: the watch that follows at once brings what is newer. A call has a short limit of
+its own: a connection may fall silent for good, and a process that waits on it would route by an
+old view.
 """
 
 import dataclasses
@@ -58,7 +60,7 @@
     """One call; `after` continues a list, `revision` a watch until `wait_until` (ms).
 
     `deadline` is when the call counts as failed, `begin_by` when it does if no byte of an answer
-    has come, both in ms.
+    has come, both in ms. `may_be_old` lets the store answer with a state of some seconds ago.
     """
 
     kind: Kind
@@ -67,6 +69,7 @@
     revision: int = 0
     wait_until: int = 0
     begin_by: int | None = None
+    may_be_old: bool = False
 
 
 class Reader:
@@ -84,9 +87,11 @@
         self.returned_at = 0
         self.complete = False
         self.start_over()
+        self.may_be_old = True
 
     def start_over(self) -> None:
         """Read everything again: the history needed to go on is gone."""
+        self.may_be_old = False
         self.todo = [(Kind.CONFIGURATION, ""), (Kind.ENTRIES, "")]
         self.revision = None
 
@@ -102,8 +107,12 @@
         if self.todo:
             kind, after = self.todo[0]
             limit = RELAY_READ_MS if relay else READ_MS
-            return Call(kind, now + limit, after, begin_by=now + BEGIN_MS)
+            begin_by = now + BEGIN_MS
+            return Call(kind, now + limit, after, begin_by=begin_by, may_be_old=self.may_be_old)
         until = now + (RELAY_WATCH_MS if relay else WATCH_MS)
+        if self.provisional:
+            # Until this watch is answered the view is not the store's present word.
+            until = now
         margin = RELAY_MARGIN_MS if relay else MARGIN_MS
         return Call(Kind.WATCH, until + margin, "", self.revision or 0, until)
 
@@ -113,7 +122,7 @@
         `current` is False for the word of a peer that does not read the store itself.
         """
         self.answered(now)
-        self.provisional = not current
+        self.provisional = not current or self.may_be_old
         if self.revision is None or revision < self.revision:
             self.revision = revision
         kind, _ = self.todo.pop(0)
--- a/src/ebonystile/core/carrying/search.py
+++ b/src/ebonystile/core/carrying/search.py
@@ -28,6 +28,10 @@
 SHOWN_BLIND = 2
 """Upstreams shown a packet of an unknown flow while another sidecar is silent."""
 
+SHOWN_EARLY = 22
+"""Upstreams shown a packet of an unknown flow before the view is sure: more than are asked to take
+a new flow."""
+
 MAX_PACKETS = 16
 """Packets held during a search: as many as a sender has under way."""
 
@@ -35,8 +39,8 @@
 """Sidecars asked at once for an open flow, in the order in which those for a new flow are: eight of
 the own zone and the first three of others. A service has about 5 upstreams at the target size."""
 
-LATER_WAVE = 64
-"""Sidecars asked in each further wave."""
+LATER_WAVE = 256
+"""Sidecars asked in each further wave: within what the budget of such messages gives at once."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ebonystile/core/carrying/sidecar.py
+++ b/src/ebonystile/core/carrying/sidecar.py
@@ -63,13 +63,17 @@
         self.shown: dict[packet.Flow, Shown] = {}
         self.leaving = False
         self.unanswered_since: int | None = None
+        self.shown_since: int | None = None
         self.tried_at = 0
         self.heard_at = now
         self.listed: fleet.Upstream | None = None
         self.view_fresh = False
         self.revision = 0
+        self.grown_at = now
+        self.known_added = 0
         self.first_view: frozenset[str] | None = None
         self.saw_start = False
+        self.was_unsure: bool | None = None
 
     @property
     def own(self) -> fleet.Upstream | None:
@@ -82,7 +86,20 @@
         After a restart the table is empty while the upstream's flows live on. Any flow that still
         matters shows a packet within the idle limit, after which the table is whole again.
         """
-        return not self.saw_start and now - self.started_at < self.current.routes.idle
+        if self.saw_start or self.upstream_gone(now):
+            return False
+        return now - self.started_at < self.current.routes.idle
+
+    def upstream_gone(self, now: int) -> bool:
+        """Tell whether no upstream is there any more: not listed, and silent to what it is shown.
+
+        It left just before its instance lost power, and only the sidecar was started again. Were
+        the sidecar unsure of it, no flow that was lost could be told from one that lived there, and
+        their callers would wait until their time limits. One that lives returns what it is shown.
+        """
+        if self.shown_since is None or not self.view_fresh or self.own is not None:
+            return False
+        return now - self.shown_since >= LOST_MS
 
     def view_changed(self, now: int) -> None:
         """Note the upstream's entry, and whether it has started while this process looked on.
@@ -93,22 +110,32 @@
         start come back from the upstream.
         """
         own = self.own
+        if self.fleet.added != self.known_added:
+            self.known_added = self.fleet.added
+            self.grown_at = now
         if self.view_fresh and self.first_view is None:
             self.first_view = frozenset(self.fleet.upstreams)
-        if own is None or own.service != self.service:
+        if own is None or own.service != self.service or self.first_view is None:
             return
         if (self.listed is None or own.boot != self.listed.boot) and self.is_new(own, now):
             self.saw_start = True
         self.listed = own
 
     def is_new(self, own: fleet.Upstream, now: int) -> bool:
-        """Tell whether an entry that appeared is that of an upstream that has just started.
+        """Tell whether an upstream's entry shows that no flow was placed there before this start.
+
+        It appeared while this process looked on, or that of the upstream before it still stands:
+        then both, the instance's processes and the upstream, ended within an entry's lease of a few
+        heartbeats. The entry of one that lives is gone as well after its instance was dark for a
+        while; but that one is through with its slow first seconds, which last shorter than a lease.
 
-        The entry of one that lives is gone as well after its instance was dark for a while; but
-        that one is through with its slow first seconds, which last shorter than an entry.
+        After a loss of power of everything all sidecars know so at once that the flows before it
+        are over. Each of those flows would else be shown to every upstream, and most callers would
+        reach their time limit before a balancer is through with them.
         """
-        appeared = self.first_view is not None and own.name not in self.first_view
-        return appeared and now < own.warm_at
+        if now >= own.warm_at:
+            return False
+        return own.name not in self.first_view or self.fleet.predecessor(own) is not None
 
     def upstream_lost(self, held: table.Held, now: int) -> bool:
         """Tell whether the upstream has gone for good while this process runs on.
@@ -180,13 +207,40 @@
         old = now - self.current.routes.idle
         self.absent = {f: at for f, at in self.absent.items() if at > old}
         self.shown = {f: s for f, s in self.shown.items() if s.at > old}
-        return self.announce(now)
+        return [*self.note_certainty(now), *self.announce(now)]
+
+    def note_certainty(self, now: int) -> list[effects.Effect]:
+        """Log when this process begins or ceases to know all flows of its upstream."""
+        unsure = self.unsure(now)
+        if unsure == self.was_unsure:
+            return []
+        self.was_unsure = unsure
+        own = self.own
+        return [
+            effects.trace(
+                "certainty",
+                knows_all_flows=not unsure,
+                saw_start=self.saw_start,
+                upstream=own.name if own else "",
+                since_start_ms=now - self.started_at,
+            )
+        ]
 
     def announce(self, now: int) -> list[effects.Effect]:
         """Tell the seeds of an upstream without an entry, or that others may read from here."""
         if self.first_view is None:
             return []
-        return self.announcer.due(self.service, self.own is not None, now)
+        if self.own is not None:
+            return self.announcer.due(self.service, True, now)
+        witnesses = announcing.witnesses_of(self.fleet)
+        return self.announcer.due(self.service, False, now, witnesses)
+
+    def listening(self, now: int) -> int:
+        """Return for how long, in ms, this process has heard of all sidecars that it does not list.
+
+        One that starts while the list is still filling does not know its witnesses yet.
+        """
+        return now - max(self.started_at, self.grown_at) if self.view_fresh else 0
 
     def on_message(
         self, message: messages.Message, shown: packet.Packet | None, source: view.Address, now: int
@@ -201,6 +255,8 @@
         if shown.flow in self.absent or not self.unsure(now):
             return [effects.Send(source, self.refused(shown, kept, now))]
         self.shown[shown.flow] = Shown(source, now, kept)
+        if self.shown_since is None:
+            self.shown_since = now
         return [effects.ToUpstream(shown.raw)]
 
     def refused(self, shown: packet.Packet, kept: bool, now: int) -> messages.Message:
@@ -221,6 +277,7 @@
     def on_upstream(self, sent: packet.Packet, now: int) -> list[effects.Effect]:
         """Act on a packet that the upstream sent or would not take."""
         self.unanswered_since = None
+        self.shown_since = None
         self.heard_at = now
         if sent.returned:
             return self.on_returned(sent, now)
@@ -361,6 +418,19 @@
     return [effects.ToUpstream(shown.raw)]
 
 
+@act.register
+def _(message: messages.Announce, sidecar, shown, source, now):
+    if not message.listed:
+        unlisted = messages.Unlisted(source, message.service, message.zone)
+        announcing.note(sidecar.fleet, unlisted, now + announcing.SEED_KEEPS_MS)
+    return []
+
+
+@act.register
+def _(message: messages.AskUnlisted, sidecar, shown, source, now):
+    return [effects.Send(source, announcing.answer(sidecar.fleet, sidecar.listening(now)))]
+
+
 @act.register
 def _(message: messages.Show, sidecar, shown, source, now):
     return sidecar.give_unknown(shown, source, now, kept=True)
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -130,9 +130,8 @@
         """Tell whether no sidecar has answered for a while, though some were asked."""
         return self.unheard_since is not None and now - self.unheard_since > UNREACHABLE_MS
 
-    def decide_later(self, shown: packet.Packet, now: int) -> None:
-        """Keep a packet of a flow that was found nowhere until the view is sure."""
-        self.nowhere.setdefault(shown.flow, now)
+    def decide_later(self, shown: packet.Packet) -> None:
+        """Keep a packet of a flow that was not found until the view is sure."""
         if len(self.undecided) >= MAX_UNDECIDED:
             del self.undecided[next(iter(self.undecided))]
         self.undecided[shown.flow] = shown
--- a/src/ebonystile/platform/store.py
+++ b/src/ebonystile/platform/store.py
@@ -9,6 +9,9 @@
 KEY_PATH, RANGE_PATH, WATCH_PATH = "/-/kv-key", "/-/kv-range", "/-/kv-watch"
 """The calls that read one item, items by the beginning of their keys, and what has changed."""
 
+OLD_WILL_DO = "&stale_ok=1"
+"""What a query says where a state of some seconds ago will do; the call is priced a tenth."""
+
 OK, GONE, UNAVAILABLE = 200, 410, 503
 
 
@@ -43,11 +46,12 @@
 
 def path_of(call: reading.Call, now: int) -> str:
     """Return path and query of a call made `now` (ms)."""
+    old = OLD_WILL_DO if call.may_be_old else ""
     if call.kind is reading.Kind.CONFIGURATION:
-        return f"{KEY_PATH}?key={entries.CONFIGURATION_KEY}"
+        return f"{KEY_PATH}?key={entries.CONFIGURATION_KEY}{old}"
     if call.kind is reading.Kind.ENTRIES:
         after = f"&after={quoted(call.after)}" if call.after else ""
-        return f"{RANGE_PATH}?prefix={entries.ENTRIES_PREFIX}{after}"
+        return f"{RANGE_PATH}?prefix={entries.ENTRIES_PREFIX}{after}{old}"
     wait = max(0, call.wait_until - now)
     prefix = entries.EVERYTHING
     return f"{WATCH_PATH}?prefix={prefix}&after={call.revision}&wait_ms={wait}"
--- a/tests/carrier/test_processes.py
+++ b/tests/carrier/test_processes.py
@@ -98,6 +98,25 @@
     running.wait(lambda: retried(running), 5)
 
 
+def test_a_balancer_that_starts_from_an_old_state_knows_what_has_changed_since(running):
+    """The store gives starting processes a state of some seconds ago, which is cheaper to read.
+
+    Since then the route was dropped and come back. A balancer that went by what it read first would
+    hold an older version than others; its first watch brings the present one at once.
+    """
+    running.store.age()
+    running.configure({("198.18.0.9", 80): installation.SERVICE})
+    running.configure({installation.ROUTE: installation.SERVICE})
+    balancer = running.balancers[0]
+    before = len(running.lines(balancer))
+    running.kill(balancer)
+    running.start(balancer)
+    running.wait(lambda: running.is_ready(balancer))
+    present = f"event=configured version={running.version} "
+    running.wait(lambda: any(present in line for line in running.lines(balancer)[before:]), 2)
+    running.answered(running.caller(balancer))
+
+
 def retried(running):
     caller = running.caller(running.balancers[1])
     time.sleep(0.2)
--- /dev/null
+++ b/tests/carrying/test_loss.py
@@ -0,0 +1,252 @@
+"""What callers get after a loss of power of everything, and what it costs to tell them."""
+
+from ebonystile.core.carrying import finding, fleet, messages, search, sidecar, state
+from tests.carrying import world
+
+SECOND = 1_000
+
+
+def lose_everything(scene):
+    """Let all machines lose power and come back; nobody remembers a flow."""
+    for node in scene.sidecars:
+        scene.lose_power(node)
+    for node in scene.balancers:
+        scene.restart_balancer(node)
+    scene.known(scene.sidecars)
+    scene.sent.clear()
+
+
+def view_begins(scene):
+    """Let the balancers have their view, the store's present word, from now on."""
+    for node in scene.balancers:
+        node.core.set_fresh(False, scene.now)
+        node.core.set_fresh(True, scene.now)
+
+
+def messages_of(scene, kind):
+    return [message for _, _, message in scene.sent if isinstance(message, kind)]
+
+
+def test_sidecars_that_lost_power_with_their_upstreams_show_them_no_packets():
+    """All machines lose power at once and are back before any entry has lapsed.
+
+    Each sidecar reads a list that holds its upstream's new entry and the former one. It knows so
+    that its upstream was started a moment ago and holds nothing, and need not ask it about flows.
+    """
+    scene = world.World(upstreams=6)
+    caller = scene.open()
+    lose_everything(scene)
+    scene.ask(caller, b"again")
+    scene.run(60)
+    assert caller.resets == 1
+    assert not messages_of(scene, messages.Show)
+
+
+def test_a_sidecar_restarted_beside_an_upstream_that_is_through_with_its_start_is_unsure():
+    """An upstream crashes and starts anew; flows open there; then its sidecar alone is restarted.
+
+    The former entry stands a little longer than usual, as it does while the store is slow. The
+    upstream is no longer in its slow first seconds, so it may hold flows that the sidecar has not
+    seen, and another balancer must not be told that they are nowhere.
+    """
+    scene = world.World(upstreams=2)
+    node = scene.sidecars[0]
+    scene.lose_power(node, warm_ms=0)
+    scene.known()
+    caller = scene.open(zone=node.zone)
+    home = scene.home_of(caller)
+    scene.restart_sidecar(home)
+    assert home.core.unsure(scene.now)
+    scene.restart_balancer(caller.through)
+    scene.ask(caller, b"again")
+    scene.run(500)
+    assert caller.resets == 0 and caller.answer.endswith(b"again")
+
+
+def test_a_sidecar_is_unsure_where_another_upstream_took_the_address_of_no_one():
+    """Nothing but the warm-up of an upstream is known: its sidecar may have been restarted alone.
+
+    An upgrade restarts sidecars in turn just as new upstreams are started; flows opened at one of
+    them in its first second live on.
+    """
+    scene = world.World(upstreams=2)
+    node = scene.sidecars[0]
+    scene.entry(node, warm_at=scene.now + 2_000)
+    scene.restart_sidecar(node)
+    assert node.core.unsure(scene.now)
+
+
+def test_many_callers_of_a_large_fleet_are_told_soon_after_a_loss_of_everything():
+    """136 upstreams and all balancers lose power; 300 callers send on their lost flows at once.
+
+    To show each flow to each upstream would be 40,000 messages, more than a balancer may send in
+    half a minute, and callers would reach their time limits. One search of everybody decides.
+    """
+    scene = world.World(zones=("a", "b", "c"), upstreams=136, balancers=3)
+    callers = [scene.open(40_000 + n, zone="abc"[n % 3]) for n in range(300)]
+    lose_everything(scene)
+    for caller in callers:
+        scene.ask(caller, b"again")
+    scene.run(SECOND)
+    assert all(caller.resets == 1 for caller in callers)
+    assert not messages_of(scene, messages.Show)
+    assert len(scene.sent) < 20_000
+
+
+def test_one_search_in_which_everybody_says_no_is_enough():
+    """A caller's flow is lost; all sidecars there are have answered and are sure.
+
+    A second search would tell nothing new, and a caller with 150 ms for its request that waits
+    for it is late.
+    """
+    scene = world.World(balancers=1)
+    caller = scene.open()
+    lose_everything(scene)
+    scene.ask(caller, b"again")
+    scene.run(finding.CONFIRM_MS - 10)
+    assert caller.resets == 1
+
+
+def test_before_the_view_is_sure_few_upstreams_are_shown_a_packet():
+    """All processes of a large fleet are killed; a flow's upstream was taken away just before.
+
+    Nobody can be told yet that a flow is over, and to show every lost flow to all upstreams would
+    hold up the flows that live: the caller's first packet goes to those that it was likely placed
+    on. Once the view is sure the others are shown it, and the caller is told.
+    """
+    scene = world.World(zones=("a",), upstreams=60, balancers=1)
+    caller = scene.open()
+    home = scene.home_of(caller)
+    home.alive = False
+    del scene.entry_of[home.address]
+    for node in scene.sidecars:
+        scene.restart_sidecar(node) if node is not home else None
+    scene.restart_balancer(scene.balancers[0])
+    view_begins(scene)
+    scene.sent.clear()
+    scene.ask(caller, b"again")
+    scene.run(150)
+    assert len(messages_of(scene, messages.Show)) <= search.SHOWN_EARLY
+    assert caller.resets == 0
+    scene.run(state.SURE_MS + 500)
+    assert len(messages_of(scene, messages.Show)) >= 59
+    assert caller.resets == 1
+
+
+def test_a_flow_placed_in_another_zone_is_found_by_the_first_questions():
+    """All processes are killed while the own zone's upstreams were busy, so a flow lives elsewhere.
+
+    The first sidecars asked are those that an opening asks, of other zones as well: the flow goes
+    on without a question to everybody.
+    """
+    scene = world.World(zones=("a", "b"), upstreams=40, balancers=1)
+    for node in scene.sidecars:
+        if node.zone == "a":
+            scene.entry(node, leaving=True)
+    scene.known()
+    caller = scene.open()
+    assert scene.home_of(caller).zone == "b"
+    for node in scene.sidecars:
+        scene.entry(node, leaving=False)
+        scene.restart_sidecar(node)
+    scene.restart_balancer(scene.balancers[0])
+    scene.sent.clear()
+    scene.ask(caller, b"again")
+    scene.run(200)
+    assert caller.answer.endswith(b"again")
+    assert not messages_of(scene, messages.AskMany)
+
+
+def upstreams_that_left(scene, count, *, sidecars_back):
+    """Let the last upstreams leave just before a loss of everything, and their entries lapse."""
+    gone = scene.sidecars[-count:]
+    for node in gone:
+        scene.lapsing.append(scene.entry_of.pop(node.address))
+        node.upstream.alive = False
+    lose = [node for node in scene.sidecars if node not in gone]
+    for node in lose:
+        scene.lose_power(node)
+    for node in gone:
+        scene.restart_sidecar(node)
+        node.alive = sidecars_back
+    for node in scene.balancers:
+        scene.restart_balancer(node)
+    scene.known()
+    scene.lapsing.clear()
+    scene.known()
+    scene.sent.clear()
+
+
+def test_sidecars_without_an_upstream_do_not_leave_callers_in_doubt():
+    """Upstreams leave, all machines lose power, and only the sidecars of those come back.
+
+    Their entries lapse. They are asked about lost flows, as an upstream may live that the store
+    can't hear, and they are sure of nothing; the packets that they show bring no word. Once one is
+    unanswered the sidecar knows that nobody is there, and callers are told.
+    """
+    scene = world.World(zones=("a",), upstreams=20, balancers=1)
+    callers = [scene.open(40_000 + n) for n in range(20)]
+    upstreams_that_left(scene, 8, sidecars_back=True)
+    for caller in callers:
+        scene.ask(caller, b"again")
+    scene.run(800)
+    assert all(caller.resets == 1 for caller in callers)
+
+
+def test_instances_that_are_gone_are_waited_for_once_and_not_by_each_caller():
+    """Upstreams leave, all machines lose power, and the instances of those stay away for good.
+
+    The first caller whose flow is looked for is told after the time that a silent sidecar is
+    given. Those who come right after are told without that wait.
+    """
+    scene = world.World(zones=("a",), upstreams=20, balancers=1)
+    callers = [scene.open(40_000 + n) for n in range(5)]
+    upstreams_that_left(scene, 4, sidecars_back=False)
+    scene.ask(callers[0], b"again")
+    scene.run(400)
+    assert callers[0].resets == 1
+    for caller in callers[1:]:
+        scene.ask(caller, b"again")
+    scene.run(60)
+    assert all(caller.resets == 1 for caller in callers)
+
+
+def test_a_flow_at_an_upstream_without_an_entry_is_kept_by_a_restarted_sidecar():
+    """The store can't hear an upstream, and its sidecar is restarted beside it.
+
+    The sidecar is asked about a flow that it does not know, and shows its upstream the packet. That
+    answers, so the sidecar does not take it for gone, and the flow goes on.
+    """
+    scene = world.World(zones=("a",), upstreams=4, balancers=1)
+    caller = scene.open()
+    home = scene.home_of(caller)
+    del scene.entry_of[home.address]
+    scene.restart_sidecar(home)
+    scene.known()
+    scene.restart_balancer(scene.balancers[0])
+    gone = fleet.make_upstream("unlisted", 0, "s", home.address, "a", 1)
+    scene.balancers[0].core.fleet.note_departed(gone, scene.now + 10 * SECOND)
+    scene.ask(caller, b"again")
+    scene.run(400)
+    assert caller.resets == 0 and caller.answer.endswith(b"again")
+    scene.run(300)
+    assert home.core.unsure(scene.now)
+
+
+def test_a_sidecar_that_read_an_old_list_first_still_knows_that_its_upstream_is_new():
+    """After a loss of power the store gives the sidecar a list of some seconds ago.
+
+    It already holds both entries of the upstream's address, but is not the store's present word. A
+    moment later it is, unchanged; the sidecar must judge by it then.
+    """
+    scene = world.World(upstreams=2)
+    node = scene.sidecars[0]
+    scene.lose_power(node)
+    core = node.core = sidecar.Sidecar(node.address, "s", scene.now)
+    for entry in (*scene.lapsing, *scene.entry_of.values()):
+        core.fleet.put(entry)
+    core.view_changed(scene.now)
+    assert core.unsure(scene.now)
+    core.view_fresh = True
+    core.view_changed(scene.now)
+    assert not core.unsure(scene.now)
--- a/tests/carrying/test_reading.py
+++ b/tests/carrying/test_reading.py
@@ -22,9 +22,37 @@
     read_all(reader)
     call = reader.next_call(0)
     assert call.kind is reading.Kind.WATCH and call.revision == 5
+    reader.watched(8, False, 0)
     assert reader.fresh
 
 
+def test_a_start_reads_an_old_state_and_then_at_once_what_is_newer():
+    """A whole fleet starts; two calls at full price for each process would be most of a day's.
+
+    The state that comes may be seconds old, so nobody is told anything by it before the watch from
+    its revision is answered, which does not wait for a change.
+    """
+    reader = make()
+    assert reader.next_call(0).may_be_old
+    read_all(reader)
+    assert not reader.fresh
+    call = reader.next_call(7)
+    assert call.kind is reading.Kind.WATCH and call.wait_until == 7
+    reader.watched(9, True, 8)
+    assert reader.fresh
+    assert reader.next_call(8 + reading.GATHER_MS).wait_until > 1_000
+
+
+def test_only_the_reads_of_a_start_may_be_old():
+    """History is gone, or a peer has a newer configuration: an old state would not bring it."""
+    for read_again in (reading.Reader.forgotten, reading.Reader.hurry, reading.Reader.distrust):
+        reader = make()
+        read_all(reader)
+        reader.watched(9, False, 0)
+        read_again(reader, 0)
+        assert not reader.next_call(0).may_be_old
+
+
 def test_a_list_of_many_pages_is_followed_to_its_end():
     reader = make()
     reader.listed(5, "", 0)
