Show packets of many lost flows in common messages; a late answer ends no search

And a straggler of the first questions ended a search that waited for its share of messages, as if it had waited too long.

A waiting search ends by its time limit only.

--- a/src/ebonystile/carrier/shell.py
+++ b/src/ebonystile/carrier/shell.py
@@ -100,6 +100,14 @@
             self.counts["datagrams_refused"] += 1
             self.log.event("datagram_refused", peer=f"{source[0]}:{source[1]}", reason=str(error))
             return
+        if isinstance(message, messages.ShowMany):
+            for raw in message.raws:
+                self.on_one(messages.Show(raw), source)
+        else:
+            self.on_one(message, source)
+
+    def on_one(self, message: messages.Message, source: view.Address) -> None:
+        """Let the core act on a message; the packet in it, if there is one, must hold."""
         raw = getattr(message, "raw", None)
         shown = packets.from_caller(raw) if raw is not None else None
         if raw is not None and shown is None:
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -158,6 +158,8 @@
             todo.extend(self.begin_undecided(now))
         if self.batch.due is not None and self.batch.due <= now:
             todo.extend(finding.ask_batch(self, now))
+        if self.showing.due is not None and self.showing.due <= now:
+            todo.extend(finding.show_batch(self, now))
         due = self.next_search_due()
         while due is not None and due <= now:
             _, flow = heapq.heappop(self.dues)
--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -115,32 +115,80 @@
         unsure = unsure[: max(0, search.SHOWN_BLIND - len(found.shown))]
     if not unsure:
         return None
+    if len(unsure) > search.FIRST_WAVE:
+        return show_widely(known, found, unsure, now)
     if not known.wide.take(len(unsure), now):
         return wait_for_room(known, found, len(unsure), now)
-    found.shown.update(u.address for u in unsure)
+    shown = messages.Show(found.packets[0].raw)
+    return [
+        note_shown(known, found, unsure, now),
+        *[effects.Send(u.address, shown) for u in unsure],
+    ]
+
+
+def note_shown(
+    known: state.State, found: search.Search, upstreams: list[fleet.Upstream], now: int
+) -> effects.Effect:
+    """Note that upstreams are shown the flow's packet now, and wait for their word."""
+    found.shown.update(u.address for u in upstreams)
     found.asked_at = now
     found.give_up_at = now + search.SHOW_MS
     known.wait(found, known.patience(found))
-    return [
-        effects.trace(
-            "shown",
-            flow=packet.flow_text(found.flow),
-            upstreams=len(unsure),
-            unanswered=len(found.unanswered()),
-        ),
-        *[effects.Send(u.address, messages.Show(found.packets[0].raw)) for u in unsure],
-    ]
+    return effects.trace(
+        "shown",
+        flow=packet.flow_text(found.flow),
+        upstreams=len(upstreams),
+        unanswered=len(found.unanswered()),
+    )
+
+
+def show_widely(
+    known: state.State, found: search.Search, upstreams: list[fleet.Upstream], now: int
+) -> list[effects.Effect]:
+    """Let the packet be shown together with others, unless the search has waited too long."""
+    if now >= found.started_at + PATIENCE_MS:
+        return give_up(known, found)
+    if found.flow not in known.showing.waiting:
+        known.showing.add(found, upstreams, now)
+        known.wait(found, found.started_at + PATIENCE_MS)
+    return []
+
+
+def show_batch(known: state.State, now: int) -> list[effects.Effect]:
+    """Show the packets that wait for that, those for one upstream together."""
+    wanted = known.showing.wanted()
+    if not known.wide.take(wanted, now):
+        known.showing.due = max(now + 1, known.wide.ready_at(wanted, now))
+        return []
+    todo: list[effects.Effect] = []
+    raws: dict[view.Address, list[bytes]] = {}
+    for found, upstreams in known.showing.take(known.searches, now):
+        todo.append(note_shown(known, found, upstreams, now))
+        for upstream in upstreams:
+            raws.setdefault(upstream.address, []).append(found.packets[0].raw)
+    for address, packets in raws.items():
+        groups = search.datagrams(packets)
+        todo.extend(effects.Send(address, messages.ShowMany(group)) for group in groups)
+    return todo
 
 
 def ask_widely(known: state.State, found: search.Search, now: int) -> list[effects.Effect]:
     """Let the search ask everybody together with others, unless it has waited too long."""
-    if known.batch.waiting.pop(found.flow, None) is not None:
-        return known.end(found)
-    known.batch.add(found, now)
-    known.wait(found, found.started_at + PATIENCE_MS)
+    if now >= found.started_at + PATIENCE_MS:
+        return give_up(known, found)
+    if found.flow not in known.batch.waiting:
+        known.batch.add(found, now)
+        known.wait(found, found.started_at + PATIENCE_MS)
     return []
 
 
+def give_up(known: state.State, found: search.Search) -> list[effects.Effect]:
+    """End a search that had no share of messages in its time; its caller sends again."""
+    known.batch.waiting.pop(found.flow, None)
+    known.showing.waiting.pop(found.flow, None)
+    return known.end(found)
+
+
 def ask_batch(known: state.State, now: int) -> list[effects.Effect]:
     """Ask everybody about the searches that wait for that, in one message each."""
     wanted = min(len(known.fleet.by_address), search.LATER_WAVE)
--- a/src/ebonystile/core/carrying/messages.py
+++ b/src/ebonystile/core/carrying/messages.py
@@ -119,6 +119,13 @@
     raw: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class ShowMany:
+    """Several `Show` in one datagram, for flows that are looked for everywhere at the same time."""
+
+    raws: tuple[bytes, ...]
+
+
 class Reason(enum.IntEnum):
     """Why a packet comes back to the balancer."""
 
@@ -182,6 +189,7 @@
     | Open
     | Carry
     | Show
+    | ShowMany
     | Return
     | Announce
     | AskUnlisted
--- a/src/ebonystile/core/carrying/search.py
+++ b/src/ebonystile/core/carrying/search.py
@@ -229,3 +229,54 @@
     def flows_of(self, number: int) -> tuple[packet.Flow, ...]:
         """Return the flows of an asking, none if it is forgotten."""
         return self.asked[number][1] if number in self.asked else ()
+
+
+MOST_SHOWN_BYTES = 1_200
+"""Bytes of packets that are shown in one datagram; a longer packet goes alone."""
+
+
+@dataclasses.dataclass(slots=True)
+class Showing:
+    """The searches that wait to show their packet to many upstreams, and to whom each.
+
+    After an outage hundreds of flows are shown to the same dozens of upstreams. Each in a message
+    of its own they wait for the budget of such messages longer than their callers have time.
+    """
+
+    waiting: dict[packet.Flow, tuple[Search, list[fleet.Upstream]]] = dataclasses.field(
+        default_factory=dict
+    )
+    due: int | None = None
+
+    def add(self, found: Search, upstreams: list[fleet.Upstream], now: int) -> None:
+        """Let a search wait for the next showing."""
+        self.waiting[found.flow] = (found, upstreams)
+        if self.due is None:
+            self.due = now + GATHER_MS
+
+    def wanted(self) -> int:
+        """Return how many messages the next showing takes at the least."""
+        addresses = {u.address for _, upstreams in self.waiting.values() for u in upstreams}
+        return min(len(addresses), LATER_WAVE)
+
+    def take(
+        self, searches: dict[packet.Flow, Search], now: int
+    ) -> list[tuple[Search, list[fleet.Upstream]]]:
+        """Return the searches to show now, those that still go on, with whom to show to."""
+        flows = list(self.waiting)[:MOST_TOGETHER]
+        taken = [self.waiting.pop(flow) for flow in flows]
+        self.due = now + GATHER_MS if self.waiting else None
+        return [(found, to) for found, to in taken if searches.get(found.flow) is found]
+
+
+def datagrams(raws: typing.Iterable[bytes]) -> list[tuple[bytes, ...]]:
+    """Return packets in groups that fit into a datagram each."""
+    groups: list[list[bytes]] = []
+    room = 0
+    for raw in raws:
+        if not groups or len(raw) > room:
+            groups.append([])
+            room = MOST_SHOWN_BYTES
+        groups[-1].append(raw)
+        room -= len(raw)
+    return [tuple(group) for group in groups]
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -84,11 +84,18 @@
         self.queued: dict[packet.Flow, tuple[packet.Packet, int]] = {}
         self.dues: list[tuple[int, packet.Flow]] = []
         self.batch = search.Batch()
+        self.showing = search.Showing()
         self.wide = budget.Budget(WIDE_PER_S, WIDE_BURST)
 
     def next_due(self) -> int | None:
         """Return when the next search or question wants to go on, in ms."""
-        dues = (self.next_search_due(), self.batch.due, self.vouching.ask_at, self.decided_at())
+        dues = (
+            self.next_search_due(),
+            self.batch.due,
+            self.showing.due,
+            self.vouching.ask_at,
+            self.decided_at(),
+        )
         return min((due for due in dues if due is not None), default=None)
 
     def decided_at(self) -> int | None:
--- a/src/ebonystile/peer/carrying.py
+++ b/src/ebonystile/peer/carrying.py
@@ -25,6 +25,9 @@
 ASK_TYPE, ANSWER_TYPE, OPEN_TYPE, CARRY_TYPE, SHOW_TYPE, RETURN_TYPE = range(1, 7)
 ASK_MANY_TYPE, ANSWER_MANY_TYPE = 7, 8
 ANNOUNCE_TYPE, ASK_UNLISTED_TYPE, ANSWER_UNLISTED_TYPE = 9, 10, 11
+SHOW_MANY_TYPE = 12
+
+LENGTH = struct.Struct("!H")
 
 ANNOUNCE = struct.Struct("!BBBB")
 ANSWER_UNLISTED = struct.Struct("!BIB")
@@ -123,6 +126,12 @@
     return PLAIN.pack(SHOW_TYPE) + message.raw
 
 
+@pack.register
+def _(message: messages.ShowMany):
+    parts = (LENGTH.pack(len(raw)) + raw for raw in message.raws)
+    return PLAIN.pack(SHOW_MANY_TYPE) + b"".join(parts)
+
+
 @pack.register
 def _(message: messages.Return):
     return RETURN.pack(RETURN_TYPE, message.reason, message.version) + message.raw
@@ -199,6 +208,20 @@
     return messages.Open(service, version, data[OPEN.size :])
 
 
+def read_show_many(data: bytes) -> messages.ShowMany:
+    """Return the packets; raise `ValueError` where one is cut off."""
+    raws = []
+    at = PLAIN.size
+    while at < len(data):
+        (length,) = LENGTH.unpack_from(data, at)
+        at += LENGTH.size
+        if at + length > len(data):
+            raise ValueError("packet cut off")
+        raws.append(data[at : at + length])
+        at += length
+    return messages.ShowMany(tuple(raws))
+
+
 def read_return(data: bytes) -> messages.Return:
     """Return the packet that came back."""
     _, reason, version = RETURN.unpack_from(data)
@@ -241,6 +264,7 @@
     OPEN_TYPE: read_open,
     CARRY_TYPE: lambda data: messages.Carry(data[1:]),
     SHOW_TYPE: lambda data: messages.Show(data[1:]),
+    SHOW_MANY_TYPE: read_show_many,
     RETURN_TYPE: read_return,
     ASK_MANY_TYPE: read_ask_many,
     ANSWER_MANY_TYPE: read_answer_many,
--- a/tests/carrying/test_datagrams.py
+++ b/tests/carrying/test_datagrams.py
@@ -49,6 +49,7 @@
     strategies.builds(messages.Open, NUMBER, NUMBER, RAW),
     strategies.builds(messages.Carry, RAW),
     strategies.builds(messages.Show, RAW),
+    strategies.builds(messages.ShowMany, strategies.lists(RAW, max_size=8).map(tuple)),
     strategies.builds(messages.Return, strategies.sampled_from(messages.Reason), NUMBER, RAW),
     strategies.builds(messages.Announce, NAME, NAME, strategies.booleans(), strategies.booleans()),
     strategies.builds(messages.AskUnlisted),
--- a/tests/carrying/test_loss.py
+++ b/tests/carrying/test_loss.py
@@ -1,6 +1,14 @@
 """What callers get after a loss of power of everything, and what it costs to tell them."""
 
-from ebonystile.core.carrying import finding, fleet, messages, search, sidecar, state
+from ebonystile.core.carrying import (
+    finding,
+    fleet,
+    messages,
+    placing,
+    search,
+    sidecar,
+    state,
+)
 from tests.carrying import world
 
 SECOND = 1_000
@@ -250,3 +258,45 @@
     core.view_fresh = True
     core.view_changed(scene.now)
     assert not core.unsure(scene.now)
+
+
+def test_flows_shown_to_many_upstreams_share_their_messages():
+    """All processes of a fleet are killed, and half of the upstreams were taken away just before.
+
+    Their sidecars came back without them and are sure of nothing; upstreams that took their places
+    return what they are shown. 100 callers send on flows of the half that is gone. A balancer's
+    budget of such messages does not hold one for each flow and upstream; each caller is told within
+    its time all the same.
+    """
+    scene = world.World(zones=("a",), upstreams=60, balancers=1)
+    callers = [scene.open(40_000 + n) for n in range(100)]
+    for node in scene.sidecars:
+        node.upstream.restart()
+        scene.restart_sidecar(node)
+    scene.restart_balancer(scene.balancers[0])
+    scene.sent.clear()
+    for caller in callers:
+        scene.ask(caller, b"again")
+    scene.run(2 * SECOND)
+    assert all(caller.resets == 1 for caller in callers)
+    together = messages_of(scene, messages.ShowMany)
+    assert sum(len(message.raws) for message in together) > 4 * len(together)
+
+
+def test_an_answer_that_comes_late_does_not_end_a_search_that_waits_for_its_share():
+    """A sidecar of the first questions is slow; its answer comes when everybody is to be asked.
+
+    The search goes on with everybody. Were it ended, the caller would hear nothing until it sent
+    its next copy, 200 ms later or more.
+    """
+    scene = world.World(zones=("a",), upstreams=30, balancers=1)
+    caller = scene.open()
+    lose_everything(scene)
+    known = scene.balancers[0].core.fleet.of("s")
+    slow = placing.order(caller.flow, known, "a")[0].address
+    scene.delays = lambda step, origin, target: [
+        search.WAVE_MS + 8 if origin == slow and step == "Answer" else world.DELAY_MS
+    ]
+    scene.ask(caller, b"again")
+    scene.run(120)
+    assert caller.resets == 1
--- a/tests/carrying/world.py
+++ b/tests/carrying/world.py
@@ -4,7 +4,16 @@
 import heapq
 import itertools
 
-from ebonystile.core.carrying import balancer, effects, fleet, packet, routes, sidecar, state
+from ebonystile.core.carrying import (
+    balancer,
+    effects,
+    fleet,
+    messages,
+    packet,
+    routes,
+    sidecar,
+    state,
+)
 from ebonystile.platform import packets
 from standins import ends
 
@@ -195,6 +204,10 @@
         node = self.nodes[target]
         if not node.alive or self.now < node.frozen_until or not self.reaches(origin, target):
             return
+        if isinstance(message, messages.ShowMany):
+            for raw in message.raws:
+                self.at_node(origin, target, messages.Show(raw))
+            return
         raw = getattr(message, "raw", None)
         shown = packets.from_caller(raw) if raw is not None else None
         self.carry_out(node, node.core.on_message(message, shown, origin, self.now))
