Name up to 128 sidecars without an entry in one answer, by their addresses

Service and zone of those sidecars were read by nobody.

Change: addresses only, 6 bytes each; a cut-off list is refused (it would pass for a whole one).

--- a/src/ebonystile/carrier/sidecar.py
+++ b/src/ebonystile/carrier/sidecar.py
@@ -25,7 +25,6 @@
             settings.internal,
             settings.service,
             clock.now(),
-            settings.zone,
             self.feed.sources.seeds,
         )
         self.core.current = self.feed.current
--- a/src/ebonystile/core/carrying/announcing.py
+++ b/src/ebonystile/core/carrying/announcing.py
@@ -51,22 +51,21 @@
 """How often, and for how long, a balancer asks the seeds, in ms; by then its view is sure without
 them."""
 
-MOST_TOLD = 16
-"""Sidecars named in one answer: with names of up to 30 bytes they fit into one packet."""
+MOST_TOLD = 128
+"""Sidecars named in one answer, 6 bytes each."""
 
 
 class Announcer:
     """When one sidecar announces itself; `relays` is set where others may read from it."""
 
-    def __init__(self, seeds: tuple[view.Address, ...], zone: str):
+    def __init__(self, seeds: tuple[view.Address, ...]):
         self.seeds = seeds
-        self.zone = zone
         self.relays = False
         self.unlisted_since: int | None = None
         self.announced_at: int | None = None
 
     def due(
-        self, service: str, listed: bool, now: int, witnesses: tuple[view.Address, ...] = ()
+        self, listed: bool, now: int, witnesses: tuple[view.Address, ...] = ()
     ) -> list[effects.Effect]:
         """Return the announcements to be sent now, at a tick or after a change of the view."""
         if listed:
@@ -81,7 +80,7 @@
         if self.announced_at is not None and now - self.announced_at < self.pause():
             return []
         self.announced_at = now
-        announced = messages.Announce(service, self.zone, listed, self.relays)
+        announced = messages.Announce(listed, self.relays)
         told = self.seeds if listed else (*self.seeds, *witnesses)
         return [effects.Send(address, announced) for address in told]
 
@@ -154,13 +153,10 @@
     return tuple(u.address for u in heapq.nsmallest(WITNESSES, listed, key=lambda u: u.key))
 
 
-def note(known: fleet.Fleet, sidecar: messages.Unlisted, until: int) -> None:
+def note(known: fleet.Fleet, address: view.Address, until: int) -> None:
     """Remember a sidecar without an entry, until a time in ms, with the upstreams that may live."""
-    host, port = sidecar.address
-    made = fleet.make_upstream(
-        f"{host}:{port}", 0, sidecar.service, sidecar.address, sidecar.zone, 1
-    )
-    known.note_departed(made, until)
+    host, port = address
+    known.note_departed(fleet.make_upstream(f"{host}:{port}", 0, "", address, "", 1), until)
 
 
 def answer(known: fleet.Fleet, listening: int) -> messages.AnswerUnlisted:
@@ -169,9 +165,6 @@
     If there are more than one answer holds, it says that it has not listened: the asker must not
     take its view for sure, and tell callers of those left out that their flows are gone.
     """
-    told = [
-        messages.Unlisted(upstream.address, upstream.service, upstream.zone)
-        for upstream in known.perhaps_alive()
-    ]
+    told = [upstream.address for upstream in known.perhaps_alive()]
     heard_all = len(told) <= MOST_TOLD
     return messages.AnswerUnlisted(listening if heard_all else 0, tuple(told[-MOST_TOLD:]))
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -283,8 +283,7 @@
 @act.register
 def _(message: messages.Announce, balancer, shown, source, now):
     if not message.listed:
-        sidecar = messages.Unlisted(source, message.service, message.zone)
-        announcing.note(balancer.fleet, sidecar, now + announcing.SEED_KEEPS_MS)
+        announcing.note(balancer.fleet, source, now + announcing.SEED_KEEPS_MS)
     return [effects.ReadFrom(source)] if message.relays else []
 
 
@@ -295,8 +294,8 @@
 
 @act.register
 def _(message: messages.AnswerUnlisted, balancer, shown, source, now):
-    for sidecar in message.sidecars:
-        announcing.note(balancer.fleet, sidecar, now + announcing.ASKER_KEEPS_MS)
+    for address in message.sidecars:
+        announcing.note(balancer.fleet, address, now + announcing.ASKER_KEEPS_MS)
     witnesses = announcing.witnesses_of(balancer.fleet)
     balancer.vouching.take(source, message.listening, witnesses)
     return []
--- a/src/ebonystile/core/carrying/messages.py
+++ b/src/ebonystile/core/carrying/messages.py
@@ -145,15 +145,6 @@
     raw: bytes
 
 
-@dataclasses.dataclass(slots=True)
-class Unlisted:
-    """A sidecar whose upstream has no entry, as others pass its word on."""
-
-    address: tuple[str, int]
-    service: str
-    zone: str
-
-
 @dataclasses.dataclass(slots=True)
 class Announce:
     """A sidecar's word to the seeds that it is there.
@@ -162,8 +153,6 @@
     it has read of the store.
     """
 
-    service: str
-    zone: str
     listed: bool
     relays: bool
 
@@ -178,7 +167,7 @@
     """A seed's answer to `AskUnlisted`, and for how long it has listened, in ms."""
 
     listening: int
-    sidecars: tuple[Unlisted, ...]
+    sidecars: tuple[tuple[str, int], ...]
 
 
 Message = (
--- a/src/ebonystile/core/carrying/sidecar.py
+++ b/src/ebonystile/core/carrying/sidecar.py
@@ -48,11 +48,10 @@
         address: view.Address,
         service: str,
         now: int,
-        zone: str = "",
         seeds: tuple[view.Address, ...] = (),
     ):
         self.address = address
-        self.announcer = announcing.Announcer(seeds, zone)
+        self.announcer = announcing.Announcer(seeds)
         self.service = service
         self.service_key = view.key_of(service)
         self.started_at = now
@@ -231,9 +230,9 @@
         if self.first_view is None:
             return []
         if self.own is not None:
-            return self.announcer.due(self.service, True, now)
+            return self.announcer.due(True, now)
         witnesses = announcing.witnesses_of(self.fleet)
-        return self.announcer.due(self.service, False, now, witnesses)
+        return self.announcer.due(False, now, witnesses)
 
     def listening(self, now: int) -> int:
         """Return for how long, in ms, this process has heard of all sidecars that it does not list.
@@ -421,8 +420,7 @@
 @act.register
 def _(message: messages.Announce, sidecar, shown, source, now):
     if not message.listed:
-        unlisted = messages.Unlisted(source, message.service, message.zone)
-        announcing.note(sidecar.fleet, unlisted, now + announcing.SEED_KEEPS_MS)
+        announcing.note(sidecar.fleet, source, now + announcing.SEED_KEEPS_MS)
     return []
 
 
--- a/src/ebonystile/peer/carrying.py
+++ b/src/ebonystile/peer/carrying.py
@@ -10,6 +10,7 @@
 import typing
 
 from ebonystile import errors
+from ebonystile.core import view
 from ebonystile.core.carrying import messages
 
 ASK = struct.Struct("!B12sQI")
@@ -29,15 +30,12 @@
 
 LENGTH = struct.Struct("!H")
 
-ANNOUNCE = struct.Struct("!BBBB")
+ANNOUNCE = struct.Struct("!BB")
 ANSWER_UNLISTED = struct.Struct("!BIB")
-UNLISTED = struct.Struct("!4sHBB")
+UNLISTED = struct.Struct("!4sH")
 
 LISTED, RELAYS = 1, 2
 
-MOST_TEXT = 255
-"""Longest name in bytes; its length stands in one byte before it."""
-
 MOST_LISTENING = (1 << 32) - 1
 
 ACCEPTING, SILENT, SATURATED = 1, 2, 4
@@ -139,9 +137,7 @@
 
 @pack.register
 def _(message: messages.Announce):
-    service, zone = text_bytes(message.service), text_bytes(message.zone)
-    marks = LISTED * message.listed | RELAYS * message.relays
-    return ANNOUNCE.pack(ANNOUNCE_TYPE, marks, len(service), len(zone)) + service + zone
+    return ANNOUNCE.pack(ANNOUNCE_TYPE, LISTED * message.listed | RELAYS * message.relays)
 
 
 @pack.register
@@ -156,16 +152,10 @@
     return head + b"".join(map(unlisted_bytes, message.sidecars))
 
 
-def unlisted_bytes(sidecar: messages.Unlisted) -> bytes:
-    """Return one sidecar of an answer."""
-    service, zone = text_bytes(sidecar.service), text_bytes(sidecar.zone)
-    host, port = sidecar.address
-    return UNLISTED.pack(socket.inet_aton(host), port, len(service), len(zone)) + service + zone
-
-
-def text_bytes(text: str) -> bytes:
-    """Return a name as it travels; a longer one than fits is cut and then names nobody."""
-    return text.encode()[:MOST_TEXT]
+def unlisted_bytes(address: view.Address) -> bytes:
+    """Return the address of one sidecar of an answer."""
+    host, port = address
+    return UNLISTED.pack(socket.inet_aton(host), port)
 
 
 def unpack(data: bytes) -> messages.Message:
@@ -230,30 +220,18 @@
 
 def read_announce(data: bytes) -> messages.Announce:
     """Return the announcement."""
-    _, marks, service_length, zone_length = ANNOUNCE.unpack_from(data)
-    service, zone = texts_of(data[ANNOUNCE.size :], service_length, zone_length)
-    return messages.Announce(service, zone, bool(marks & LISTED), bool(marks & RELAYS))
+    _, marks = ANNOUNCE.unpack(data)
+    return messages.Announce(bool(marks & LISTED), bool(marks & RELAYS))
 
 
 def read_answer_unlisted(data: bytes) -> messages.AnswerUnlisted:
-    """Return the answer."""
+    """Return the answer; raise `ValueError` where sidecars are cut off."""
     _, listening, count = ANSWER_UNLISTED.unpack_from(data)
-    at = ANSWER_UNLISTED.size
-    sidecars = []
-    for _ in range(count):
-        host, port, service_length, zone_length = UNLISTED.unpack_from(data, at)
-        at += UNLISTED.size
-        service, zone = texts_of(data[at:], service_length, zone_length)
-        at += service_length + zone_length
-        sidecars.append(messages.Unlisted((socket.inet_ntoa(host), port), service, zone))
-    return messages.AnswerUnlisted(listening, tuple(sidecars))
-
-
-def texts_of(data: bytes, first: int, second: int) -> tuple[str, str]:
-    """Return two names of these lengths in bytes; raise `ValueError` where they are cut off."""
-    if len(data) < first + second:
-        raise ValueError("names cut off")
-    return data[:first].decode(), data[first : first + second].decode()
+    packed = data[ANSWER_UNLISTED.size :]
+    if len(packed) != count * UNLISTED.size:
+        raise ValueError("sidecars cut off")
+    sidecars = tuple((socket.inet_ntoa(h), port) for h, port in UNLISTED.iter_unpack(packed))
+    return messages.AnswerUnlisted(listening, sidecars)
 
 
 HOLDINGS = tuple(messages.Holding)
--- a/tests/carrying/test_announcing.py
+++ b/tests/carrying/test_announcing.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ebonystile.core.carrying import announcing, effects, messages, packet, state
+from ebonystile.peer import carrying
 from tests.carrying import world
 
 SECOND = 1_000
@@ -182,17 +183,17 @@
 
 
 def test_a_sidecar_announces_itself_at_each_tick_until_its_upstream_is_listed():
-    announcer = announcing.Announcer((("10.0.0.1", 7720),), "a")
-    assert announcer.due("s", False, 0)
-    assert not announcer.due("s", False, announcing.UNLISTED_EVERY_MS - 1)
-    assert announcer.due("s", False, announcing.UNLISTED_EVERY_MS)
-    assert not announcer.due("s", True, 2 * announcing.UNLISTED_EVERY_MS)
+    announcer = announcing.Announcer((("10.0.0.1", 7720),))
+    assert announcer.due(False, 0)
+    assert not announcer.due(False, announcing.UNLISTED_EVERY_MS - 1)
+    assert announcer.due(False, announcing.UNLISTED_EVERY_MS)
+    assert not announcer.due(True, 2 * announcing.UNLISTED_EVERY_MS)
 
 
 def test_a_sidecar_without_an_entry_for_long_is_silent():
     """Its upstream is gone for good, or the store can't hear it, and is to be taken as gone."""
-    announcer = announcing.Announcer((("10.0.0.1", 7720),), "a")
-    sent = [now for now in range(0, 60_000, 200) if announcer.due("s", False, now)]
+    announcer = announcing.Announcer((("10.0.0.1", 7720),))
+    sent = [now for now in range(0, 60_000, 200) if announcer.due(False, now)]
     assert len(sent) == announcing.UNLISTED_FOR_MS // announcing.UNLISTED_EVERY_MS
 
 
@@ -237,20 +238,21 @@
 
 
 def test_a_sidecar_that_others_may_read_from_offers_itself_once_a_second():
-    announcer = announcing.Announcer((("10.0.0.1", 7720),), "a")
+    announcer = announcing.Announcer((("10.0.0.1", 7720),))
     announcer.relays = True
-    sent = [now for now in range(0, 5_000, 200) if announcer.due("s", True, now)]
+    sent = [now for now in range(0, 5_000, 200) if announcer.due(True, now)]
     assert sent == [0, 1_000, 2_000, 3_000, 4_000]
 
 
 def test_a_seed_names_at_most_as_many_sidecars_as_fit_into_a_datagram():
     scene = world.World(balancers=1)
     (seed,) = scene.balancers
-    for number in range(40):
+    for number in range(announcing.MOST_TOLD + 10):
         source = (f"10.9.0.{number}", 7720)
-        seed.core.on_message(messages.Announce("s", "a", False, False), None, source, scene.now)
+        seed.core.on_message(messages.Announce(False, False), None, source, scene.now)
     (sent,) = seed.core.on_message(messages.AskUnlisted(), None, ("10.0.0.9", 1), scene.now)
     assert len(sent.message.sidecars) == announcing.MOST_TOLD
+    assert len(carrying.pack(sent.message)) <= 1_200
 
 
 def test_a_seed_that_can_t_name_all_sidecars_without_an_entry_vouches_for_nothing():
@@ -264,7 +266,7 @@
     seed_with(scene, seed)
     for number in range(announcing.MOST_TOLD + 1):
         source = (f"10.9.0.{number}", 7720)
-        seed.core.on_message(messages.Announce("s", "a", False, False), None, source, scene.now)
+        seed.core.on_message(messages.Announce(False, False), None, source, scene.now)
     scene.run(announcing.VOUCHED_MS)
     view_begins(scene, [asker])
     (sent,) = seed.core.on_message(messages.AskUnlisted(), None, asker.address, scene.now)
@@ -275,7 +277,7 @@
 def test_a_balancer_reads_from_a_sidecar_that_offers_itself():
     scene = world.World(balancers=1)
     source = scene.sidecars[0].address
-    offered = messages.Announce("s", "a", True, True)
+    offered = messages.Announce(True, True)
     done = scene.balancers[0].core.on_message(offered, None, source, scene.now)
     assert done == [effects.ReadFrom(source)]
 
--- a/tests/carrying/test_datagrams.py
+++ b/tests/carrying/test_datagrams.py
@@ -24,9 +24,8 @@
     strategies.booleans(),
     strategies.booleans(),
 )
-NAME = strategies.text(max_size=60).filter(lambda name: len(name.encode()) <= 255)
 HOST = strategies.ip_addresses(v=4).map(str)
-UNLISTED = strategies.builds(messages.Unlisted, strategies.tuples(HOST, SHORT), NAME, NAME)
+UNLISTED = strategies.tuples(HOST, SHORT)
 MESSAGES = strategies.one_of(
     strategies.builds(messages.Ask, FLOW, NUMBER, POSITION),
     strategies.builds(
@@ -51,7 +50,7 @@
     strategies.builds(messages.Show, RAW),
     strategies.builds(messages.ShowMany, strategies.lists(RAW, max_size=8).map(tuple)),
     strategies.builds(messages.Return, strategies.sampled_from(messages.Reason), NUMBER, RAW),
-    strategies.builds(messages.Announce, NAME, NAME, strategies.booleans(), strategies.booleans()),
+    strategies.builds(messages.Announce, strategies.booleans(), strategies.booleans()),
     strategies.builds(messages.AskUnlisted),
     strategies.builds(
         messages.AnswerUnlisted,
@@ -86,3 +85,17 @@
     sent = messages.Answer(bytes(12), 1, messages.Holding.HELD, load)
     back = carrying.unpack(carrying.pack(sent)).load
     assert back.running == back.slots == back.latency == carrying.MOST
+
+
+def test_a_cut_off_list_of_sidecars_is_refused():
+    """A list that lost its end would pass for all sidecars without an entry."""
+    whole = carrying.pack(messages.AnswerUnlisted(500, (("10.0.0.1", 7720), ("10.0.0.2", 7720))))
+    for kept in range(1, len(whole)):
+        with pytest.raises(errors.DatagramError):
+            carrying.unpack(whole[:kept])
+
+
+def test_a_cut_off_packet_among_several_is_refused():
+    whole = carrying.pack(messages.ShowMany((b"first", b"second")))
+    with pytest.raises(errors.DatagramError):
+        carrying.unpack(whole[:-1])
