--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -58,20 +58,20 @@
 
     def on_caller(self, data: bytes, source: view.Address) -> None:
         """Act on a caller's packet."""
-        shown = packets.from_caller(data)
-        if shown is None:
+        received = packets.from_caller(data)
+        if received is None:
             self.counts["packets_refused"] += 1
             return
         self.counts["packets"] += 1
         self.caller_at = self.loop.now
-        self.carry_out(self.core.on_caller(shown, self.loop.now))
+        self.carry_out(self.core.on_caller(received, self.loop.now))
         self.set_alarm()
 
     def on_message(
-        self, message: messages.Message, shown: packet.Packet | None, source: view.Address
+        self, message: messages.Message, received: packet.Packet | None, source: view.Address
     ) -> None:
         """Act on a sidecar's message."""
-        self.carry_out(self.core.on_message(message, shown, source, self.loop.now))
+        self.carry_out(self.core.on_message(message, received, source, self.loop.now))
         self.set_alarm()
 
     def set_alarm(self) -> None:
--- a/src/ebonystile/carrier/shell.py
+++ b/src/ebonystile/carrier/shell.py
@@ -100,23 +100,23 @@
             self.counts["datagrams_refused"] += 1
             self.log.event("datagram_refused", peer=f"{source[0]}:{source[1]}", reason=str(error))
             return
-        if isinstance(message, messages.ShowMany):
+        if isinstance(message, messages.ProbeMany):
             for raw in message.raws:
-                self.on_one(messages.Show(raw), source)
+                self.on_one(messages.Probe(raw), source)
         else:
             self.on_one(message, source)
 
     def on_one(self, message: messages.Message, source: view.Address) -> None:
         """Let the core act on a message; the packet in it, if there is one, must hold."""
         raw = getattr(message, "raw", None)
-        shown = packets.from_caller(raw) if raw is not None else None
-        if raw is not None and shown is None:
+        received = packets.from_caller(raw) if raw is not None else None
+        if raw is not None and received is None:
             self.counts["datagrams_refused"] += 1
             return
-        self.on_message(message, shown, source)
+        self.on_message(message, received, source)
 
     def on_message(
-        self, message: messages.Message, shown: packet.Packet | None, source: view.Address
+        self, message: messages.Message, received: packet.Packet | None, source: view.Address
     ) -> None:
         """Let the core act on a message."""
         raise NotImplementedError
--- a/src/ebonystile/carrier/sidecar.py
+++ b/src/ebonystile/carrier/sidecar.py
@@ -67,10 +67,10 @@
         self.carry_out(self.core.on_upstream(sent, self.loop.now))
 
     def on_message(
-        self, message: messages.Message, shown: packet.Packet | None, source: view.Address
+        self, message: messages.Message, received: packet.Packet | None, source: view.Address
     ) -> None:
         """Act on a balancer's message."""
-        self.carry_out(self.core.on_message(message, shown, source, self.loop.now))
+        self.carry_out(self.core.on_message(message, received, source, self.loop.now))
 
     def on_tick(self, now: int) -> None:
         """Forget what is over."""
--- a/src/ebonystile/core/carrying/announcing.py
+++ b/src/ebonystile/core/carrying/announcing.py
@@ -30,7 +30,7 @@
 RELAY_EVERY_MS = 1_000
 """How often a sidecar that others may read from says so, in ms."""
 
-VOUCHED_MS = 2 * UNLISTED_EVERY_MS
+SEED_LISTENED_MS = 2 * UNLISTED_EVERY_MS
 """How long a seed must have listened, and a balancer had its view, in ms, for the seed's word to
 hold: two announcements, of which one may be lost.
 
@@ -42,7 +42,7 @@
 """Sidecars that are told of those without an entry, and how many of them must agree that they have
 heard of all. One more or less in a reader's list changes one of the four at most."""
 
-WITNESSED_MS = 500
+WITNESS_LISTENED_MS = 500
 """How long a witness must have listened, its list unchanged, in ms: instances that lost power
 together start within 300 ms of one another, and one of two announcements may be lost."""
 
@@ -90,10 +90,10 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Vouching:
+class Confirmation:
     """What seeds and witnesses say to one balancer about sidecars without an entry.
 
-    `vouched` is set once a seed that has listened for long enough, or most of the witnesses, have
+    `confirmed` is set once a seed that has listened for long enough, or most of the witnesses, have
     answered since the view is there. They are asked next at `ask_at` and no more from `give_up_at`
     on; `seeds_from` is when a seed's word may be taken, all in ms.
     """
@@ -101,7 +101,7 @@
     seeds: tuple[view.Address, ...]
     is_seed: bool
     started_at: int
-    vouched: bool = False
+    confirmed: bool = False
     ask_at: int | None = None
     give_up_at: int = 0
     seeds_from: int = 0
@@ -109,10 +109,10 @@
 
     def view_began(self, now: int) -> None:
         """Note that the view is the store's present word from now on."""
-        self.vouched = False
+        self.confirmed = False
         self.agreed.clear()
         self.ask_at = now
-        self.seeds_from = now + VOUCHED_MS
+        self.seeds_from = now + SEED_LISTENED_MS
         self.give_up_at = now + ASK_FOR_MS
 
     def ask(self, witnesses: tuple[view.Address, ...], now: int) -> list[effects.Effect]:
@@ -120,7 +120,7 @@
         if self.ask_at is None or self.ask_at > now:
             return []
         by_seeds = now >= self.seeds_from
-        if by_seeds and self.is_seed and now - self.started_at >= VOUCHED_MS:
+        if by_seeds and self.is_seed and now - self.started_at >= SEED_LISTENED_MS:
             self.settle()
             return []
         self.ask_at = now + ASK_EVERY_MS if now < self.give_up_at else None
@@ -133,9 +133,9 @@
         """Take the word of a seed or a witness that has listened for so long, in ms."""
         if self.ask_at is None:
             return
-        if source in self.seeds and listening >= VOUCHED_MS:
+        if source in self.seeds and listening >= SEED_LISTENED_MS:
             self.settle()
-        if source not in witnesses or listening < WITNESSED_MS:
+        if source not in witnesses or listening < WITNESS_LISTENED_MS:
             return
         self.agreed.add(source)
         if len(self.agreed.intersection(witnesses)) >= WITNESSES_AGREED:
@@ -143,7 +143,7 @@
 
     def settle(self) -> None:
         """Take the view for whole, and ask no more."""
-        self.vouched = True
+        self.confirmed = True
         self.ask_at = None
 
 
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -44,122 +44,126 @@
 class Balancer(state.State):
     """One balancer; methods return what is to be done, in order."""
 
-    def on_caller(self, shown: packet.Packet, now: int) -> list[effects.Effect]:
+    def on_caller(self, received: packet.Packet, now: int) -> list[effects.Effect]:
         """Send a caller's packet on, or begin to search for where it belongs."""
-        found = self.searches.get(shown.flow)
+        found = self.searches.get(received.flow)
         if found is not None:
-            found.hold(shown)
+            found.hold(received)
             return []
-        home = self.homes.get(shown.flow)
-        if home is None or shown.opens:
-            return self.begin(shown, home, now)
-        if self.current.routes.find(shown.flow) is None:
-            return self.without_route(shown)
+        home = self.homes.get(received.flow)
+        if home is None or received.opens:
+            return self.begin(received, home, now)
+        if self.current.routes.find(received.flow) is None:
+            return self.without_route(received)
         if not self.fleet.lives(home.upstream) and now >= home.checked_until:
-            return self.begin(shown, home, now)
+            return self.begin(received, home, now)
         home.seen_at = now
-        return [effects.Send(home.upstream.address, messages.Carry(shown.raw))]
+        return [effects.Send(home.upstream.address, messages.Carry(received.raw))]
 
-    def without_route(self, shown: packet.Packet) -> list[effects.Effect]:
+    def without_route(self, received: packet.Packet) -> list[effects.Effect]:
         """Refuse a flow that no route allows, at once if the configuration is surely in force."""
-        self.homes.pop(shown.flow, None)
-        if shown.aborts or not self.view_fresh or not self.current.routes.version:
+        self.homes.pop(received.flow, None)
+        if received.aborts or not self.view_fresh or not self.current.routes.version:
             return []
         return [
             effects.trace(
                 "flow_reset",
-                flow=packet.flow_text(shown.flow),
+                flow=packet.flow_text(received.flow),
                 reason="no_route",
                 version=self.current.routes.version,
             ),
-            effects.Reset(shown.flow, shown.acknowledged),
+            effects.Reset(received.flow, received.acknowledged),
         ]
 
     def begin(
-        self, shown: packet.Packet, home: state.Home | None, now: int
+        self, received: packet.Packet, home: state.Home | None, now: int
     ) -> list[effects.Effect]:
         """Begin to search for the upstream of a flow."""
-        route = self.current.routes.find(shown.flow)
+        route = self.current.routes.find(received.flow)
         if route is None:
-            return self.without_route(shown)
+            return self.without_route(received)
         if len(self.searches) >= MAX_SEARCHES:
             return []
-        if shown.opens:
-            begun = opening.search_for(self, shown, route.service_of(shown.flow), now)
+        if received.opens:
+            begun = opening.search_for(self, received, route.service_of(received.flow), now)
         elif self.finding < MAX_FINDING:
-            begun = finding.search_for(self, shown, now)
+            begun = finding.search_for(self, received, now)
         else:
-            finding.queue(self, shown, now)
+            finding.queue(self, received, now)
             return []
         if home is not None:
             begun.previous = home
             begun.waves[:1] = [search.with_first(home.upstream, (begun.waves or [[]])[0])]
-        if not begun.goes_on and (shown.opens or self.sure(now)):
-            return self.nobody(shown)
+        if not begun.goes_on and (received.opens or self.view_confirmed(now)):
+            return self.nobody(received)
         if not begun.goes_on:
             # Right after its return the store's list may be empty while all upstreams live.
-            self.nowhere.setdefault(shown.flow, now)
-            self.decide_later(shown)
+            self.missing_since.setdefault(received.flow, now)
+            self.keep_pending(received)
             return []
-        self.searches[shown.flow] = begun
+        self.searches[received.flow] = begun
         self.finding += not begun.opening
-        return self.ask_next(begun, now) if begun.waves else finding.ask_widely(self, begun, now)
+        return self.ask_next(begun, now) if begun.waves else finding.ask_everybody(self, begun, now)
 
     def begin_queued(self, now: int) -> list[effects.Effect]:
         """Begin the searches that there is room for, those that wait longest first."""
         todo: list[effects.Effect] = []
         while self.queued and self.finding < MAX_FINDING:
             flow = next(iter(self.queued))
-            shown, until = self.queued.pop(flow)
+            received, until = self.queued.pop(flow)
             if now < until and flow not in self.searches and flow not in self.homes:
-                todo.extend(self.begin(shown, None, now))
+                todo.extend(self.begin(received, None, now))
         return todo
 
-    def begin_undecided(self, now: int) -> list[effects.Effect]:
-        """Look once more for the flows that were found nowhere before the view was sure.
+    def begin_pending(self, now: int) -> list[effects.Effect]:
+        """Look once more for the flows that were not found before the view was confirmed.
 
         Left to the callers' next copies, half of those whose flows were lost with all upstreams
         learned of it too late to be served in their time.
         """
         todo: list[effects.Effect] = []
-        while self.undecided and self.finding < MAX_FINDING and self.sure(now):
-            flow = next(iter(self.undecided))
-            shown = self.undecided.pop(flow)
+        while self.pending and self.finding < MAX_FINDING and self.view_confirmed(now):
+            flow = next(iter(self.pending))
+            received = self.pending.pop(flow)
             if flow not in self.searches and flow not in self.homes:
-                todo.extend(finding.look_again(self, [shown], now, now))
+                todo.extend(finding.look_again(self, [received], now, now))
         return todo
 
-    def nobody(self, shown: packet.Packet) -> list[effects.Effect]:
+    def nobody(self, received: packet.Packet) -> list[effects.Effect]:
         """Refuse a flow for which there is no upstream, at once if that is sure."""
-        if not self.view_fresh or shown.aborts:
+        if not self.view_fresh or received.aborts:
             return []
         return [
-            effects.trace("flow_reset", flow=packet.flow_text(shown.flow), reason="no_upstream"),
-            effects.Reset(shown.flow, shown.acknowledged),
+            effects.trace("flow_reset", flow=packet.flow_text(received.flow), reason="no_upstream"),
+            effects.Reset(received.flow, received.acknowledged),
         ]
 
     def on_message(
-        self, message: messages.Message, shown: packet.Packet | None, source: view.Address, now: int
+        self,
+        message: messages.Message,
+        received: packet.Packet | None,
+        source: view.Address,
+        now: int,
     ) -> list[effects.Effect]:
-        """Act on a sidecar's message; `shown` is the packet in it."""
+        """Act on a sidecar's message; `received` is the packet in it."""
         self.unheard_since = None
         self.silence.pop(source, None)
-        todo = act(message, self, shown, source, now)
+        todo = act(message, self, received, source, now)
         if self.queued:
             todo.extend(self.begin_queued(now))
-        if self.undecided:
-            todo.extend(self.begin_undecided(now))
+        if self.pending:
+            todo.extend(self.begin_pending(now))
         return todo
 
     def on_due(self, now: int) -> list[effects.Effect]:
         """Go on with the searches that are due."""
         todo = self.ask_unlisted(now)
-        if self.undecided:
-            todo.extend(self.begin_undecided(now))
+        if self.pending:
+            todo.extend(self.begin_pending(now))
         if self.batch.due is not None and self.batch.due <= now:
             todo.extend(finding.ask_batch(self, now))
-        if self.showing.due is not None and self.showing.due <= now:
-            todo.extend(finding.show_batch(self, now))
+        if self.probes.due is not None and self.probes.due <= now:
+            todo.extend(finding.send_probes(self, now))
         due = self.next_search_due()
         while due is not None and due <= now:
             _, flow = heapq.heappop(self.dues)
@@ -172,9 +176,9 @@
 
     def ask_unlisted(self, now: int) -> list[effects.Effect]:
         """Ask which sidecars have no entry, if that is due."""
-        if self.vouching.ask_at is None or self.vouching.ask_at > now:
+        if self.confirmation.ask_at is None or self.confirmation.ask_at > now:
             return []
-        return self.vouching.ask(announcing.witnesses_of(self.fleet), now)
+        return self.confirmation.ask(announcing.witnesses_of(self.fleet), now)
 
     def on_tick(self, now: int) -> list[effects.Effect]:
         """Forget what is over, and ask somebody while nobody answers, to notice the end of that."""
@@ -195,7 +199,7 @@
         if len(self.homes) > MAX_HOMES:
             idle = idle // 4
         self.homes = {f: h for f, h in self.homes.items() if now - h.seen_at < idle}
-        self.nowhere = {f: at for f, at in self.nowhere.items() if now - at < idle}
+        self.missing_since = {f: at for f, at in self.missing_since.items() if now - at < idle}
 
     def go_on(self, found: search.Search, now: int) -> list[effects.Effect]:
         """Decide by the answers so far, ask further upstreams, or give up."""
@@ -209,7 +213,7 @@
         if found.goes_on and found.opening:
             return self.ask_next(found, now)
         if found.goes_on:
-            return finding.ask_widely(self, found, now)
+            return finding.ask_everybody(self, found, now)
         until = self.patience(found)
         if now < until and not found.exhausted():
             self.wait(found, until)
@@ -222,21 +226,21 @@
             self.silence[upstream.address] = now + search.SILENCE_MS
 
     def end_of_search(self, found: search.Search, now: int) -> list[effects.Effect]:
-        """Give up: a reset if the flow is surely nowhere, else silence; the caller sends again."""
+        """Give up: a reset if the flow is surely over, else silence; the caller sends again."""
         self.end(found)
         last = found.packets[-1]
         missing = [u for u in found.unanswered() if self.fleet.lives(u)]
-        nowhere = not missing and not found.unsure()
+        not_found = not missing and not found.unknown()
         if found.opening:
-            over = nowhere and self.view_fresh
-        elif not self.sure(now):
+            over = not_found and self.view_fresh
+        elif not self.view_confirmed(now):
             over = False
-            if nowhere:
-                self.nowhere.setdefault(found.flow, now)
-            self.decide_later(last)
+            if not_found:
+                self.missing_since.setdefault(found.flow, now)
+            self.keep_pending(last)
         else:
-            over = nowhere and finding.confirmed(self, found, now)
-            if nowhere and not over and not found.looked_before and not last.aborts:
+            over = not_found and finding.confirmed(self, found, now)
+            if not_found and not over and not found.looked_before and not last.aborts:
                 return finding.look_again(self, found.packets, now, now + finding.CONFIRM_MS)
         traced = effects.trace(
             "not_placed" if found.opening else "not_found",
@@ -256,7 +260,7 @@
 def act(
     message: typing.Any,
     balancer: Balancer,
-    shown: packet.Packet | None,
+    received: packet.Packet | None,
     source: view.Address,
     now: int,
 ) -> list[effects.Effect]:
@@ -265,13 +269,13 @@
 
 
 @act.register
-def _(message: messages.Answer, balancer, shown, source, now):
+def _(message: messages.Answer, balancer, received, source, now):
     todo = effects.read_again(message.version, balancer.current.routes.version)
     found = balancer.searches.get(message.flow)
     if found is None:
         return todo
     upstream = found.asked.get(source) or balancer.fleet.by_address.get(source)
-    if source in found.shown and message.holding is messages.Holding.ABSENT:
+    if source in found.probed and message.holding is messages.Holding.ABSENT:
         found.exclude(source)
     elif upstream is None or not found.answer(upstream, message):
         return todo
@@ -281,28 +285,28 @@
 
 
 @act.register
-def _(message: messages.Announce, balancer, shown, source, now):
+def _(message: messages.Announce, balancer, received, source, now):
     if not message.listed:
         announcing.note(balancer.fleet, source, now + announcing.SEED_KEEPS_MS)
     return [effects.ReadFrom(source)] if message.relays else []
 
 
 @act.register
-def _(message: messages.AskUnlisted, balancer, shown, source, now):
+def _(message: messages.AskUnlisted, balancer, received, source, now):
     return [effects.Send(source, announcing.answer(balancer.fleet, now - balancer.started_at))]
 
 
 @act.register
-def _(message: messages.AnswerUnlisted, balancer, shown, source, now):
+def _(message: messages.AnswerUnlisted, balancer, received, source, now):
     for address in message.sidecars:
         announcing.note(balancer.fleet, address, now + announcing.ASKER_KEEPS_MS)
     witnesses = announcing.witnesses_of(balancer.fleet)
-    balancer.vouching.take(source, message.listening, witnesses)
+    balancer.confirmation.take(source, message.listening, witnesses)
     return []
 
 
 @act.register
-def _(message: messages.AnswerMany, balancer, shown, source, now):
+def _(message: messages.AnswerMany, balancer, received, source, now):
     todo = effects.read_again(message.version, balancer.current.routes.version)
     answers = {
         holding: messages.Answer(NO_FLOW, message.version, holding, message.load, message.revision)
@@ -320,22 +324,22 @@
 
 
 @act.register
-def _(message: messages.Return, balancer, shown, source, now):
+def _(message: messages.Return, balancer, received, source, now):
     todo = effects.read_again(message.version, balancer.current.routes.version)
-    home = balancer.homes.get(shown.flow)
+    home = balancer.homes.get(received.flow)
     if home is not None and home.upstream.address == source:
-        del balancer.homes[shown.flow]
-    found = balancer.searches.get(shown.flow)
+        del balancer.homes[received.flow]
+    found = balancer.searches.get(received.flow)
     if found is not None:
         found.exclude(source)
-        found.hold(shown)
+        found.hold(received)
         if found.exhausted():
             todo.extend(balancer.go_on(found, now))
         return todo
     if message.reason is messages.Reason.NO_ROUTE:
         return todo
-    todo.extend(balancer.begin(shown, None, now))
-    begun = balancer.searches.get(shown.flow)
+    todo.extend(balancer.begin(received, None, now))
+    begun = balancer.searches.get(received.flow)
     if begun is not None:
         begun.exclude(source)
         if begun.exhausted():
--- a/src/ebonystile/core/carrying/effects.py
+++ b/src/ebonystile/core/carrying/effects.py
@@ -67,6 +67,6 @@
     return Trace(event, tuple(fields.items()))
 
 
-def read_again(shown: int, known: int) -> list[Effect]:
-    """Return the wish to read the store again where a peer has shown a newer configuration."""
-    return [ReadAgain(shown)] if shown > known else []
+def read_again(version: int, known: int) -> list[Effect]:
+    """Return the wish to read the store again where a peer has a newer configuration."""
+    return [ReadAgain(version)] if version > known else []
--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -34,12 +34,12 @@
 """
 
 
-def search_for(known: state.State, shown: packet.Packet, now: int) -> search.Search:
+def search_for(known: state.State, received: packet.Packet, now: int) -> search.Search:
     """Return the search for the home of an open flow: in its services, then everywhere."""
-    flow = shown.flow
+    flow = received.flow
     names = known.current.services_of(flow)
     likely = [u for name in names for u in placing.order(flow, known.fleet.of(name), known.zone)]
-    begun = search.Search(flow, "", [shown], [], started_at=now, due=now)
+    begun = search.Search(flow, "", [received], [], started_at=now, due=now)
     first = likely[: search.FIRST_WAVE] if known.finding < FINDING_SINGLY else []
     if first:
         begun.waves = [first]
@@ -60,10 +60,10 @@
     return [u for u in known.fleet.perhaps_alive() if u.address not in known.silence]
 
 
-def queue(known: state.State, shown: packet.Packet, now: int) -> None:
+def queue(known: state.State, received: packet.Packet, now: int) -> None:
     """Let a packet of an open flow wait until fewer flows are looked for."""
     if len(known.queued) < MAX_QUEUED:
-        known.queued.setdefault(shown.flow, (shown, now + QUEUE_MS))
+        known.queued.setdefault(received.flow, (received, now + QUEUE_MS))
 
 
 def decide(known: state.State, found: search.Search, now: int) -> list[effects.Effect] | None:
@@ -85,94 +85,94 @@
         ]
     if not found.wave_over(now):
         return None
-    unsure = found.unsure()
-    if not unsure or (found.goes_on and 2 * len(unsure) < len(found.answers)):
+    unknown = found.unknown()
+    if not unknown or (found.goes_on and 2 * len(unknown) < len(found.answers)):
         return None
     if not found.goes_on and not found.all_answered() and now < known.patience(found):
         return None
-    return show(known, found, unsure, now)
+    return probe(known, found, unknown, now)
 
 
-def show(
-    known: state.State, found: search.Search, unsure: list[fleet.Upstream], now: int
+def probe(
+    known: state.State, found: search.Search, unknown: list[fleet.Upstream], now: int
 ) -> list[effects.Effect] | None:
     """Let upstreams whose sidecars have just started say whether they hold the flow.
 
     If every sidecar answered, the one at the flow's home is among those asked, so the home
     gets the packet too. If one is silent it may be the home, and a few upstreams only are
-    shown the packet: several foreign packets of a flow and none at home would look like a
-    flow that was moved. Where most of the first wave are unsure, all have started together,
-    and the home is likely one of the wave: they are shown the packet before all others.
+    probed: several foreign packets of a flow and none at home would look like a flow that was
+    moved. Where most of the first wave don't know, all have started together, and the home is
+    likely one of the wave: they are probed before all others.
 
-    The others wait until the view is sure. Before that nobody can be told that a flow is over,
-    and to show all flows to all upstreams would hold up those flows that live.
+    The others wait until the view is confirmed. Before that nobody can be told that a flow is
+    over, and to probe all upstreams for all flows would hold up those flows that live.
     """
-    if not found.shown:
-        unsure = unsure[: search.FIRST_WAVE]
-    elif not known.sure(now):
-        unsure = unsure[: max(0, search.SHOWN_EARLY - len(found.shown))]
+    if not found.probed:
+        unknown = unknown[: search.FIRST_WAVE]
+    elif not known.view_confirmed(now):
+        unknown = unknown[: max(0, search.PROBED_EARLY - len(found.probed))]
     if not found.all_answered():
-        unsure = unsure[: max(0, search.SHOWN_BLIND - len(found.shown))]
-    if not unsure:
+        unknown = unknown[: max(0, search.PROBED_BLIND - len(found.probed))]
+    if not unknown:
         return None
-    if len(unsure) > search.FIRST_WAVE:
-        return show_widely(known, found, unsure, now)
-    if not known.wide.take(len(unsure), now):
-        return wait_for_room(known, found, len(unsure), now)
-    shown = messages.Show(found.packets[0].raw)
+    if len(unknown) > search.FIRST_WAVE:
+        return probe_many(known, found, unknown, now)
+    if not known.fanout.take(len(unknown), now):
+        return wait_for_room(known, found, len(unknown), now)
+    message = messages.Probe(found.packets[0].raw)
     return [
-        note_shown(known, found, unsure, now),
-        *[effects.Send(u.address, shown) for u in unsure],
+        note_probed(known, found, unknown, now),
+        *[effects.Send(u.address, message) for u in unknown],
     ]
 
 
-def note_shown(
+def note_probed(
     known: state.State, found: search.Search, upstreams: list[fleet.Upstream], now: int
 ) -> effects.Effect:
-    """Note that upstreams are shown the flow's packet now, and wait for their word."""
-    found.shown.update(u.address for u in upstreams)
+    """Note that upstreams are probed now, and wait for their answers."""
+    found.probed.update(u.address for u in upstreams)
     found.asked_at = now
-    found.give_up_at = now + search.SHOW_MS
+    found.give_up_at = now + search.PROBE_MS
     known.wait(found, known.patience(found))
     return effects.trace(
-        "shown",
+        "probed",
         flow=packet.flow_text(found.flow),
         upstreams=len(upstreams),
         unanswered=len(found.unanswered()),
     )
 
 
-def show_widely(
+def probe_many(
     known: state.State, found: search.Search, upstreams: list[fleet.Upstream], now: int
 ) -> list[effects.Effect]:
-    """Let the packet be shown together with others, unless the search has waited too long."""
+    """Let the upstreams be probed together with other searches, unless it has waited too long."""
     if now >= found.started_at + PATIENCE_MS:
         return give_up(known, found)
-    if found.flow not in known.showing.waiting:
-        known.showing.add(found, upstreams, now)
+    if found.flow not in known.probes.waiting:
+        known.probes.add(found, upstreams, now)
         known.wait(found, found.started_at + PATIENCE_MS)
     return []
 
 
-def show_batch(known: state.State, now: int) -> list[effects.Effect]:
-    """Show the packets that wait for that, those for one upstream together."""
-    wanted = known.showing.wanted()
-    if not known.wide.take(wanted, now):
-        known.showing.due = max(now + 1, known.wide.ready_at(wanted, now))
+def send_probes(known: state.State, now: int) -> list[effects.Effect]:
+    """Probe the packets that wait for that, those for one upstream together."""
+    wanted = known.probes.wanted()
+    if not known.fanout.take(wanted, now):
+        known.probes.due = max(now + 1, known.fanout.ready_at(wanted, now))
         return []
     todo: list[effects.Effect] = []
     raws: dict[view.Address, list[bytes]] = {}
-    for found, upstreams in known.showing.take(known.searches, now):
-        todo.append(note_shown(known, found, upstreams, now))
+    for found, upstreams in known.probes.take(known.searches, now):
+        todo.append(note_probed(known, found, upstreams, now))
         for upstream in upstreams:
             raws.setdefault(upstream.address, []).append(found.packets[0].raw)
     for address, packets in raws.items():
         groups = search.datagrams(packets)
-        todo.extend(effects.Send(address, messages.ShowMany(group)) for group in groups)
+        todo.extend(effects.Send(address, messages.ProbeMany(group)) for group in groups)
     return todo
 
 
-def ask_widely(known: state.State, found: search.Search, now: int) -> list[effects.Effect]:
+def ask_everybody(known: state.State, found: search.Search, now: int) -> list[effects.Effect]:
     """Let the search ask everybody together with others, unless it has waited too long."""
     if now >= found.started_at + PATIENCE_MS:
         return give_up(known, found)
@@ -185,15 +185,15 @@
 def give_up(known: state.State, found: search.Search) -> list[effects.Effect]:
     """End a search that had no share of messages in its time; its caller sends again."""
     known.batch.waiting.pop(found.flow, None)
-    known.showing.waiting.pop(found.flow, None)
+    known.probes.waiting.pop(found.flow, None)
     return known.end(found)
 
 
 def ask_batch(known: state.State, now: int) -> list[effects.Effect]:
     """Ask everybody about the searches that wait for that, in one message each."""
     wanted = min(len(known.fleet.by_address), search.LATER_WAVE)
-    if not known.wide.take(wanted, now):
-        known.batch.due = max(now + 1, known.wide.ready_at(wanted, now))
+    if not known.fanout.take(wanted, now):
+        known.batch.due = max(now + 1, known.fanout.ready_at(wanted, now))
         return []
     questions: dict[view.Address, list[tuple[packet.Flow, int]]] = {}
     for found in known.batch.take(known.searches, now):
@@ -219,7 +219,7 @@
     known: state.State, found: search.Search, messages_wanted: int, now: int
 ) -> list[effects.Effect]:
     """Go on once the messages may be sent, unless the search has taken too long by then."""
-    due = max(now + 1, known.wide.ready_at(messages_wanted, now))
+    due = max(now + 1, known.fanout.ready_at(messages_wanted, now))
     if due > found.started_at + PATIENCE_MS:
         return known.end(found)
     known.wait(found, due)
@@ -230,8 +230,8 @@
     """Tell whether the flow's upstream is gone, or is surely nowhere.
 
     One search is enough if everybody there is has said no. If not, two in a row must have found the
-    flow nowhere. An upstream that was shown a packet in both and has neither returned nor answered
-    one does not serve the flow: one that lives acknowledges the second packet at once.
+    flow nowhere. An upstream that was probed in both and has neither returned nor answered a packet
+    does not serve the flow: one that lives acknowledges the second one at once.
     """
     if found.previous is not None and not known.fleet.lives(found.previous.upstream):
         return True
@@ -239,7 +239,7 @@
         return False
     if found.settled():
         return True
-    first = known.nowhere.setdefault(found.flow, now)
+    first = known.missing_since.setdefault(found.flow, now)
     return now - first >= CONFIRM_MS
 
 
--- a/src/ebonystile/core/carrying/messages.py
+++ b/src/ebonystile/core/carrying/messages.py
@@ -12,12 +12,12 @@
 class Holding(enum.IntEnum):
     """What a sidecar knows of a flow at its own upstream.
 
-    UNSURE is said by one that started so recently that its upstream may hold flows which it has
+    UNKNOWN is said by one that started so recently that its upstream may hold flows which it has
     not seen a packet of yet.
     """
 
     ABSENT = 0
-    UNSURE = 1
+    UNKNOWN = 1
     OFFERED = 2
     HELD = 3
 
@@ -110,7 +110,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Show:
+class Probe:
     """Find out by this packet, which the balancer keeps, whether the upstream holds its flow.
 
     The sidecar gives an `Answer` once its upstream has answered the packet or returned it.
@@ -120,8 +120,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class ShowMany:
-    """Several `Show` in one datagram, for flows that are looked for everywhere at the same time."""
+class ProbeMany:
+    """Several `Probe` in one datagram, for flows that are looked for at the same time."""
 
     raws: tuple[bytes, ...]
 
@@ -177,8 +177,8 @@
     | AnswerMany
     | Open
     | Carry
-    | Show
-    | ShowMany
+    | Probe
+    | ProbeMany
     | Return
     | Announce
     | AskUnlisted
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -15,26 +15,28 @@
 
 
 HOLD_MS = 300
-"""How long a new flow waits at most for an upstream that is not crowded, in ms, counted from its
+"""How long a new flow waits at most for an upstream that is not overloaded, in ms, counted from its
 first packet: its caller gives up after 1,400, and must still be answered."""
 
 HOLD_STEP_MS = 25
 """How often the sidecars are asked meanwhile, in ms: about the time of a request."""
 
 
-def search_for(known: state.State, shown: packet.Packet, service: str, now: int) -> search.Search:
+def search_for(
+    known: state.State, received: packet.Packet, service: str, now: int
+) -> search.Search:
     """Return the search for an upstream that takes a new flow."""
     willing = [u for u in known.fleet.of(service) if not u.leaving]
     heard = [u for u in willing if u.address not in known.silence]
     near, far = placing.split(heard or willing, known.zone)
-    flow = shown.flow
+    flow = received.flow
     if near:
         waves = [placing.first_wave(flow, near)]
         later = functools.partial(placing.later_waves, flow, near, far)
     else:
         waves = placing.later_waves(flow, near, far)
         later = None
-    begun = search.Search(flow, service, [shown], waves, started_at=now, due=now)
+    begun = search.Search(flow, service, [received], waves, started_at=now, due=now)
     if len(known.searches) >= BUSY_SEARCHES:
         begun.waves = waves[:1]
     elif len(near) + len(far) > sum(map(len, waves)):
@@ -54,7 +56,7 @@
         return None
     if chosen.load.silent and not found.all_answered() and now < found.give_up_at:
         return None
-    if chosen.crowded and now < found.started_at + HOLD_MS:
+    if chosen.overloaded and now < found.started_at + HOLD_MS:
         return hold(known, found, chosen, now)
     return place(known, found, chosen.upstream, now, chosen)
 
@@ -85,7 +87,7 @@
 def hold(
     known: state.State, found: search.Search, chosen: placing.Standing, now: int
 ) -> list[effects.Effect]:
-    """Ask again in a moment which upstream is the least busy, since all of them are crowded.
+    """Ask again in a moment which upstream is the least busy, since all of them are overloaded.
 
     When all callers come back at once after an outage, the requests on open flows fill every
     upstream's queue. A new flow sent there is refused, and its caller, who comes back at once, is
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -54,7 +54,7 @@
 """Share of good results from which an upstream needs no comparison with others."""
 
 
-CROWDED = 4
+OVERLOADED = 4
 """Requests for each slot, running or waiting there, from which a new flow is better held back.
 
 They take four times the usual time to be through, about as long as callers wait gladly, and an
@@ -82,13 +82,13 @@
         return not load.silent and load.running <= load.slots and self.sound
 
     @property
-    def crowded(self) -> bool:
+    def overloaded(self) -> bool:
         """Tell whether so many requests wait there that a new one had better wait here.
 
         Flows that were just opened alone don't make a crowd: not all bring a request at once.
         """
         load = self.load
-        return load.saturated and load.running >= CROWDED * max(1, load.slots)
+        return load.saturated and load.running >= OVERLOADED * max(1, load.slots)
 
 
 def compare(
--- a/src/ebonystile/core/carrying/search.py
+++ b/src/ebonystile/core/carrying/search.py
@@ -19,18 +19,18 @@
 share of a core is used up stands still for up to 100 ms. Most of them are gone with their
 instances, and for each flow lost with all upstreams its caller waited for 350 ms more."""
 
-SHOW_MS = 400
-"""How long an upstream that was shown a packet is waited for, in ms."""
+PROBE_MS = 400
+"""How long an upstream that was probed is waited for, in ms."""
 
 SILENCE_MS = 1_000
 """How long a sidecar that did not answer is left out of the choice for new flows, in ms."""
 
-SHOWN_BLIND = 2
-"""Upstreams shown a packet of an unknown flow while another sidecar is silent."""
+PROBED_BLIND = 2
+"""Upstreams probed with a packet of an unknown flow while another sidecar is silent."""
 
-SHOWN_EARLY = 22
-"""Upstreams shown a packet of an unknown flow before the view is sure: more than are asked to take
-a new flow."""
+PROBED_EARLY = 22
+"""Upstreams probed with a packet of an unknown flow before the view is confirmed: more than are
+asked to take a new flow."""
 
 MAX_PACKETS = 16
 """Packets held during a search: as many as a sender has under way."""
@@ -48,11 +48,11 @@
     """One search; `due` is when to go on, `give_up_at` when to end, in ms.
 
     `service` is that of a flow to be opened, empty for one that is open somewhere. `later` gives
-    the waves after the last of `waves`, worked out only if they are wanted. `shown` holds whose
+    the waves after the last of `waves`, worked out only if they are wanted. `probed` holds whose
     upstreams were given a packet to find out, `excluded` who gave one back.
     `revision` is the furthest that any of them has read the store, `asked_at` when the last of them
-    were asked or shown a packet, in ms. `held` marks a new flow that waits since all upstreams are
-    crowded.
+    were asked or probed, in ms. `held` marks a new flow that waits since all upstreams are
+    overloaded.
     """
 
     flow: packet.Flow
@@ -73,17 +73,17 @@
     held: bool = False
     revision: int = 0
     excluded: set[view.Address] = dataclasses.field(default_factory=set)
-    shown: set[view.Address] = dataclasses.field(default_factory=set)
+    probed: set[view.Address] = dataclasses.field(default_factory=set)
 
     @property
     def opening(self) -> bool:
         """Tell whether the flow is to be opened."""
         return bool(self.service)
 
-    def hold(self, shown: packet.Packet) -> None:
+    def hold(self, received: packet.Packet) -> None:
         """Keep a further packet of the flow until the search is over."""
         if len(self.packets) < MAX_PACKETS:
-            self.packets.append(shown)
+            self.packets.append(received)
 
     @property
     def goes_on(self) -> bool:
@@ -103,7 +103,7 @@
 
     def answer(self, upstream: fleet.Upstream, answer: messages.Answer) -> bool:
         """Take in an answer; tell whether it was asked for."""
-        if upstream.address not in self.asked and not self.shown:
+        if upstream.address not in self.asked and not self.probed:
             return False
         self.answers[upstream.address] = (upstream, answer)
         self.revision = max(self.revision, answer.revision)
@@ -132,26 +132,26 @@
         """Return the answers in the order of asking, which differs from flow to flow."""
         return [self.answers[address] for address in self.asked if address in self.answers]
 
-    def unsure(self) -> list[fleet.Upstream]:
+    def unknown(self) -> list[fleet.Upstream]:
         """Return the upstreams that may hold the flow without their sidecar's knowing."""
         return [
             u
             for u, a in self.in_order()
-            if a.holding is messages.Holding.UNSURE and u.address not in self.shown
+            if a.holding is messages.Holding.UNKNOWN and u.address not in self.probed
         ]
 
-    def open_shows(self) -> bool:
-        """Tell whether an upstream that was shown a packet has neither kept nor returned it yet."""
-        return bool(self.shown) and not self.shown <= self.excluded
+    def open_probes(self) -> bool:
+        """Tell whether an upstream that was probed has neither kept nor returned the packet yet."""
+        return bool(self.probed) and not self.probed <= self.excluded
 
     def unanswered(self) -> list[fleet.Upstream]:
         """Return those that were asked and have not answered."""
         return [u for address, u in self.asked.items() if address not in self.answers]
 
     def awaited(self) -> list[fleet.Upstream]:
-        """Return those whose word is still out, be it on a question or on a packet shown."""
-        shown = [self.asked[a] for a in self.shown - self.excluded if a in self.asked]
-        return [*self.unanswered(), *shown]
+        """Return those whose answer is still due, be it to a question or to a probe."""
+        probed = [self.asked[a] for a in self.probed - self.excluded if a in self.asked]
+        return [*self.unanswered(), *probed]
 
     def all_answered(self) -> bool:
         """Tell whether everybody asked has answered."""
@@ -159,7 +159,7 @@
 
     def exhausted(self) -> bool:
         """Tell whether nobody is left who could still say something new."""
-        return self.settled() and not self.goes_on and not self.unsure()
+        return self.settled() and not self.goes_on and not self.unknown()
 
     def wave_over(self, now: int) -> bool:
         """Tell whether there is nothing to wait for in the present wave."""
@@ -167,7 +167,7 @@
 
     def settled(self) -> bool:
         """Tell whether everybody has said what there is to say for now."""
-        return self.all_answered() and not self.open_shows()
+        return self.all_answered() and not self.open_probes()
 
 
 def later_waves(
@@ -231,15 +231,15 @@
         return self.asked[number][1] if number in self.asked else ()
 
 
-MOST_SHOWN_BYTES = 1_200
-"""Bytes of packets that are shown in one datagram; a longer packet goes alone."""
+MOST_PROBE_BYTES = 1_200
+"""Bytes of packets in one datagram of probes; a longer packet goes alone."""
 
 
 @dataclasses.dataclass(slots=True)
-class Showing:
-    """The searches that wait to show their packet to many upstreams, and to whom each.
+class ProbeBatch:
+    """The searches that wait to probe many upstreams, and whom each.
 
-    After an outage hundreds of flows are shown to the same dozens of upstreams. Each in a message
+    After an outage the same dozens of upstreams are probed for hundreds of flows. Each in a message
     of its own they wait for the budget of such messages longer than their callers have time.
     """
 
@@ -249,13 +249,13 @@
     due: int | None = None
 
     def add(self, found: Search, upstreams: list[fleet.Upstream], now: int) -> None:
-        """Let a search wait for the next showing."""
+        """Let a search wait for the next probes."""
         self.waiting[found.flow] = (found, upstreams)
         if self.due is None:
             self.due = now + GATHER_MS
 
     def wanted(self) -> int:
-        """Return how many messages the next showing takes at the least."""
+        """Return how many messages the next probes takes at the least."""
         addresses = {u.address for _, upstreams in self.waiting.values() for u in upstreams}
         return min(len(addresses), LATER_WAVE)
 
@@ -276,7 +276,7 @@
     for raw in raws:
         if not groups or len(raw) > room:
             groups.append([])
-            room = MOST_SHOWN_BYTES
+            room = MOST_PROBE_BYTES
         groups[-1].append(raw)
         room -= len(raw)
     return [tuple(group) for group in groups]
--- a/src/ebonystile/core/carrying/sidecar.py
+++ b/src/ebonystile/core/carrying/sidecar.py
@@ -24,12 +24,12 @@
 Callers send a packet again after 200 ms; an upstream that lives has acknowledged it by then.
 """
 
-MAX_SHOWN = 4_096
+MAX_ABSENT = 4_096
 """Flows remembered as absent after the upstream returned a packet of theirs."""
 
 
 @dataclasses.dataclass(slots=True)
-class Shown:
+class Probed:
     """A packet of an unknown flow, given to the upstream on behalf of `source` at a time in ms.
 
     `kept` says that the source has kept the packet and wants to know only what becomes of it.
@@ -59,10 +59,10 @@
         self.fleet = fleet.Fleet()
         self.table = table.Table()
         self.absent: dict[packet.Flow, int] = {}
-        self.shown: dict[packet.Flow, Shown] = {}
+        self.probed: dict[packet.Flow, Probed] = {}
         self.leaving = False
         self.unanswered_since: int | None = None
-        self.shown_since: int | None = None
+        self.probed_since: int | None = None
         self.tried_at = 0
         self.heard_at = now
         self.listed: fleet.Upstream | None = None
@@ -72,14 +72,14 @@
         self.known_added = 0
         self.first_view: frozenset[str] | None = None
         self.saw_start = False
-        self.was_unsure: bool | None = None
+        self.was_incomplete: bool | None = None
 
     @property
     def own(self) -> fleet.Upstream | None:
         """Return the upstream beside this process, as it is listed."""
         return self.fleet.by_address.get(self.address)
 
-    def unsure(self, now: int) -> bool:
+    def incomplete(self, now: int) -> bool:
         """Tell whether the upstream may hold flows that this process has not seen yet.
 
         After a restart the table is empty while the upstream's flows live on. Any flow that still
@@ -90,15 +90,15 @@
         return now - self.started_at < self.current.routes.idle
 
     def upstream_gone(self, now: int) -> bool:
-        """Tell whether no upstream is there any more: not listed, and silent to what it is shown.
+        """Tell whether no upstream is there any more: not listed, and silent when it is probed.
 
-        It left just before its instance lost power, and only the sidecar was started again. Were
-        the sidecar unsure of it, no flow that was lost could be told from one that lived there, and
-        their callers would wait until their time limits. One that lives returns what it is shown.
+        It left just before its instance lost power, and only the sidecar was started again. If that
+        said that it does not know, no flow that was lost could be told from one that lived there,
+        and their callers would wait until their time limits. One that lives answers a probe.
         """
-        if self.shown_since is None or not self.view_fresh or self.own is not None:
+        if self.probed_since is None or not self.view_fresh or self.own is not None:
             return False
-        return now - self.shown_since >= LOST_MS
+        return now - self.probed_since >= LOST_MS
 
     def view_changed(self, now: int) -> None:
         """Note the upstream's entry, and whether it has started while this process looked on.
@@ -129,8 +129,8 @@
         while; but that one is through with its slow first seconds, which last shorter than a lease.
 
         After a loss of power of everything all sidecars know so at once that the flows before it
-        are over. Each of those flows would else be shown to every upstream, and most callers would
-        reach their time limit before a balancer is through with them.
+        are over. Every upstream would else be probed for each of those flows, and most callers
+        would reach their time limit before a balancer is through with them.
         """
         if now >= own.warm_at:
             return False
@@ -185,8 +185,8 @@
     def holding(self, flow: packet.Flow, acknowledged: int, now: int) -> messages.Holding:
         """Return whether the upstream holds the flow."""
         holding = self.table.holding(flow, acknowledged)
-        if holding is messages.Holding.ABSENT and self.unsure(now) and flow not in self.absent:
-            return messages.Holding.UNSURE
+        if holding is messages.Holding.ABSENT and self.incomplete(now) and flow not in self.absent:
+            return messages.Holding.UNKNOWN
         return holding
 
     def answer(self, flow: packet.Flow, acknowledged: int, now: int) -> messages.Answer:
@@ -205,20 +205,20 @@
         self.table.sweep(self.current.routes.idle, now)
         old = now - self.current.routes.idle
         self.absent = {f: at for f, at in self.absent.items() if at > old}
-        self.shown = {f: s for f, s in self.shown.items() if s.at > old}
+        self.probed = {f: s for f, s in self.probed.items() if s.at > old}
         return [*self.note_certainty(now), *self.announce(now)]
 
     def note_certainty(self, now: int) -> list[effects.Effect]:
         """Log when this process begins or ceases to know all flows of its upstream."""
-        unsure = self.unsure(now)
-        if unsure == self.was_unsure:
+        incomplete = self.incomplete(now)
+        if incomplete == self.was_incomplete:
             return []
-        self.was_unsure = unsure
+        self.was_incomplete = incomplete
         own = self.own
         return [
             effects.trace(
                 "certainty",
-                knows_all_flows=not unsure,
+                knows_all_flows=not incomplete,
                 saw_start=self.saw_start,
                 upstream=own.name if own else "",
                 since_start_ms=now - self.started_at,
@@ -242,52 +242,55 @@
         return now - max(self.started_at, self.grown_at) if self.view_fresh else 0
 
     def on_message(
-        self, message: messages.Message, shown: packet.Packet | None, source: view.Address, now: int
+        self,
+        message: messages.Message,
+        received: packet.Packet | None,
+        source: view.Address,
+        now: int,
     ) -> list[effects.Effect]:
-        """Act on a balancer's message; `shown` is the packet in it."""
-        return act(message, self, shown, source, now)
+        """Act on a balancer's message; `received` is the packet in it."""
+        return act(message, self, received, source, now)
 
     def give_unknown(
-        self, shown: packet.Packet, source: view.Address, now: int, *, kept: bool
+        self, received: packet.Packet, source: view.Address, now: int, *, kept: bool
     ) -> list[effects.Effect]:
         """Let the upstream say whether it holds the flow, once for each flow."""
-        if shown.flow in self.absent or not self.unsure(now):
-            return [effects.Send(source, self.refused(shown, kept, now))]
-        self.shown[shown.flow] = Shown(source, now, kept)
-        if self.shown_since is None:
-            self.shown_since = now
-        return [effects.ToUpstream(shown.raw)]
-
-    def refused(self, shown: packet.Packet, kept: bool, now: int) -> messages.Message:
+        if received.flow in self.absent or not self.incomplete(now):
+            return [effects.Send(source, self.refused(received, kept, now))]
+        self.probed[received.flow] = Probed(source, now, kept)
+        if self.probed_since is None:
+            self.probed_since = now
+        return [effects.ToUpstream(received.raw)]
+
+    def refused(self, received: packet.Packet, kept: bool, now: int) -> messages.Message:
         """Return what tells a balancer that its packet is of no flow here.
 
-        Where it has kept the packet, that need not travel back: after a loss of everything each
-        open flow is shown to dozens of upstreams, uploads with whole packets, and on a day of 100
-        instances what came back were 12 of 36 MB of messages between availability zones.
+        Where it has kept the packet, that need not travel back: after a loss of everything dozens
+        of upstreams are probed for each open flow, with whole packets of uploads.
         """
         if kept:
             version = self.current.routes.version
             load = self.load(now)
             return messages.Answer(
-                shown.flow, version, messages.Holding.ABSENT, load, self.revision
+                received.flow, version, messages.Holding.ABSENT, load, self.revision
             )
-        return self.returned(messages.Reason.ABSENT, shown.raw)
+        return self.returned(messages.Reason.ABSENT, received.raw)
 
     def on_upstream(self, sent: packet.Packet, now: int) -> list[effects.Effect]:
         """Act on a packet that the upstream sent or would not take."""
         self.unanswered_since = None
-        self.shown_since = None
+        self.probed_since = None
         self.heard_at = now
         if sent.returned:
             return self.on_returned(sent, now)
         held = self.table.flows.get(sent.flow)
         found: list[effects.Effect] = []
         if held is None:
-            shown = self.shown.pop(sent.flow, None)
-            source = shown.source if shown else self.address
+            probe = self.probed.pop(sent.flow, None)
+            source = probe.source if probe else self.address
             held = self.table.add(sent.flow, source, now)
             held.held = not sent.accepts
-            if shown is not None:
+            if probe is not None:
                 found.append(effects.Send(source, self.answer(sent.flow, 0, now)))
         self.table.from_upstream(held, sent, now)
         return [effects.ToCaller(sent), *found]
@@ -304,7 +307,7 @@
                 effects.trace("open_returned", flow=packet.flow_text(sent.flow)),
                 effects.Send(held.source, back),
             ]
-        shown = self.shown.pop(sent.flow, None)
+        probe = self.probed.pop(sent.flow, None)
         self.note_absent(sent.flow, now)
         if held is not None and held.held and not held.closed:
             # The upstream held the flow and holds it no more: it has started anew, or given the
@@ -316,13 +319,13 @@
                 effects.Reset(sent.flow, sent.acknowledged),
             ]
         self.table.forget(sent.flow)
-        if shown is None:
+        if probe is None:
             return []
-        return [effects.Send(shown.source, self.refused(sent, shown.kept, now))]
+        return [effects.Send(probe.source, self.refused(sent, probe.kept, now))]
 
     def note_absent(self, flow: packet.Flow, now: int) -> None:
         """Remember that the upstream does not hold the flow."""
-        if len(self.absent) >= MAX_SHOWN:
+        if len(self.absent) >= MAX_ABSENT:
             del self.absent[next(iter(self.absent))]
         self.absent[flow] = now
 
@@ -331,7 +334,7 @@
 def act(
     message: typing.Any,
     sidecar: Sidecar,
-    shown: packet.Packet | None,
+    received: packet.Packet | None,
     source: view.Address,
     now: int,
 ) -> list[effects.Effect]:
@@ -340,7 +343,7 @@
 
 
 @act.register
-def _(message: messages.Ask, sidecar, shown, source, now):
+def _(message: messages.Ask, sidecar, received, source, now):
     answered = sidecar.answer(message.flow, message.acknowledged, now)
     return [
         effects.Send(source, answered),
@@ -349,7 +352,7 @@
 
 
 @act.register
-def _(message: messages.AskMany, sidecar, shown, source, now):
+def _(message: messages.AskMany, sidecar, received, source, now):
     holdings = tuple(sidecar.holding(flow, at, now) for flow, at in message.questions)
     version = sidecar.current.routes.version
     load = sidecar.load(now)
@@ -361,27 +364,27 @@
 
 
 @act.register
-def _(message: messages.Open, sidecar, shown, source, now):
-    reason = refusal_of(message, shown, sidecar)
+def _(message: messages.Open, sidecar, received, source, now):
+    reason = refusal_of(message, received, sidecar)
     if reason is not None:
         return [
-            effects.trace("open_refused", flow=packet.flow_text(shown.flow), reason=reason.name),
-            effects.Send(source, sidecar.returned(reason, shown.raw)),
+            effects.trace("open_refused", flow=packet.flow_text(received.flow), reason=reason.name),
+            effects.Send(source, sidecar.returned(reason, received.raw)),
             *effects.read_again(message.version, sidecar.current.routes.version),
         ]
-    sidecar.table.open(shown.flow, source, now).source = source
+    sidecar.table.open(received.flow, source, now).source = source
     if sidecar.unanswered_since is None:
         sidecar.unanswered_since = now
     if now - sidecar.tried_at >= RETRY_MS:
         sidecar.tried_at = now
     return [
-        effects.ToUpstream(shown.raw),
+        effects.ToUpstream(received.raw),
         *effects.read_again(message.version, sidecar.current.routes.version),
     ]
 
 
 def refusal_of(
-    message: messages.Open, shown: packet.Packet, sidecar: Sidecar
+    message: messages.Open, received: packet.Packet, sidecar: Sidecar
 ) -> messages.Reason | None:
     """Return why the upstream may not get the new flow, or None.
 
@@ -392,43 +395,45 @@
         return messages.Reason.OTHER_SERVICE
     known = sidecar.current.routes
     if known.version >= message.version > 0:
-        route = known.find(shown.flow)
+        route = known.find(received.flow)
         if route is None or sidecar.service not in route.services:
             return messages.Reason.NO_ROUTE
-    if shown.flow in sidecar.table.flows:
+    if received.flow in sidecar.table.flows:
         return None
     return sidecar.refusal()
 
 
 @act.register
-def _(message: messages.Carry, sidecar, shown, source, now):
-    holding = sidecar.table.holding(shown.flow, shown.acknowledged)
+def _(message: messages.Carry, sidecar, received, source, now):
+    holding = sidecar.table.holding(received.flow, received.acknowledged)
     if holding is messages.Holding.ABSENT:
-        return sidecar.give_unknown(shown, source, now, kept=False)
-    held = sidecar.table.flows[shown.flow]
-    if held.held and not shown.aborts and sidecar.upstream_lost(held, now):
-        sidecar.table.forget(shown.flow)
+        return sidecar.give_unknown(received, source, now, kept=False)
+    held = sidecar.table.flows[received.flow]
+    if held.held and not received.aborts and sidecar.upstream_lost(held, now):
+        sidecar.table.forget(received.flow)
         return [
-            effects.trace("flow_lost", flow=packet.flow_text(shown.flow), reason="upstream_gone"),
-            effects.Reset(shown.flow, shown.acknowledged),
+            effects.trace(
+                "flow_lost", flow=packet.flow_text(received.flow), reason="upstream_gone"
+            ),
+            effects.Reset(received.flow, received.acknowledged),
         ]
     held.source = source
-    sidecar.table.from_caller(held, shown, now)
-    return [effects.ToUpstream(shown.raw)]
+    sidecar.table.from_caller(held, received, now)
+    return [effects.ToUpstream(received.raw)]
 
 
 @act.register
-def _(message: messages.Announce, sidecar, shown, source, now):
+def _(message: messages.Announce, sidecar, received, source, now):
     if not message.listed:
         announcing.note(sidecar.fleet, source, now + announcing.SEED_KEEPS_MS)
     return []
 
 
 @act.register
-def _(message: messages.AskUnlisted, sidecar, shown, source, now):
+def _(message: messages.AskUnlisted, sidecar, received, source, now):
     return [effects.Send(source, announcing.answer(sidecar.fleet, sidecar.listening(now)))]
 
 
 @act.register
-def _(message: messages.Show, sidecar, shown, source, now):
-    return sidecar.give_unknown(shown, source, now, kept=True)
+def _(message: messages.Probe, sidecar, received, source, now):
+    return sidecar.give_unknown(received, source, now, kept=True)
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -20,9 +20,9 @@
     search,
 )
 
-WIDE_PER_S, WIDE_BURST = 1_000, 300
+FANOUT_PER_S, FANOUT_BURST = 1_000, 300
 """Messages a second, and at once, for searches beyond their first wave: these ask everybody there
-is, and show packets to everybody who is unsure.
+is, and probe all who do not know.
 
 A message and its answer cost 100 microseconds. After an outage all flows are looked for; 40 wide
 searches at once, one message each for 64 sidecars, kept a balancer with half a core from answering
@@ -32,7 +32,7 @@
 UNREACHABLE_MS = 800
 """Silence of all sidecars asked after which this balancer asks the fabric for no more packets."""
 
-SURE_MS = 1_000
+VIEW_AGE_MS = 1_000
 """How long this process must have had its view before it tells a caller that a flow is gone, in
 ms, where no seed can tell of upstreams without an entry: entries lost in an outage come back within
 about two heartbeats of 0.8 s, and less would judge by a list that is still filling. With 4 s,
@@ -41,8 +41,8 @@
 PLACED_MS = 100
 """How long a placing is remembered, in ms: answers to questions are seldom older."""
 
-MAX_UNDECIDED = 1_000
-"""Flows found nowhere that wait for a sure view; one more takes the place of the oldest."""
+MAX_PENDING = 1_000
+"""Flows not found that wait for a confirmed view; one more takes the place of the oldest."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,9 +66,9 @@
     ):
         self.zone = zone
         self.started_at = now
-        self.vouching = announcing.Vouching(seeds, is_seed, now)
+        self.confirmation = announcing.Confirmation(seeds, is_seed, now)
         self.placed: collections.deque[tuple[int, view.Address]] = collections.deque()
-        self.undecided: dict[packet.Flow, packet.Packet] = {}
+        self.pending: dict[packet.Flow, packet.Packet] = {}
         self.current = routes.Current()
         self.fleet = fleet.Fleet()
         self.homes: dict[packet.Flow, Home] = {}
@@ -78,31 +78,31 @@
         self.view_since = now
         self.revision = 0
         self.unheard_since: int | None = None
-        self.nowhere: dict[packet.Flow, int] = {}
+        self.missing_since: dict[packet.Flow, int] = {}
         self.sweep_at = now
         self.finding = 0
         self.queued: dict[packet.Flow, tuple[packet.Packet, int]] = {}
         self.dues: list[tuple[int, packet.Flow]] = []
         self.batch = search.Batch()
-        self.showing = search.Showing()
-        self.wide = budget.Budget(WIDE_PER_S, WIDE_BURST)
+        self.probes = search.ProbeBatch()
+        self.fanout = budget.Budget(FANOUT_PER_S, FANOUT_BURST)
 
     def next_due(self) -> int | None:
         """Return when the next search or question wants to go on, in ms."""
         dues = (
             self.next_search_due(),
             self.batch.due,
-            self.showing.due,
-            self.vouching.ask_at,
-            self.decided_at(),
+            self.probes.due,
+            self.confirmation.ask_at,
+            self.pending_until(),
         )
         return min((due for due in dues if due is not None), default=None)
 
-    def decided_at(self) -> int | None:
-        """Return when the flows found nowhere can be decided at the latest, in ms."""
-        if not self.undecided or not self.view_fresh or self.finding:
+    def pending_until(self) -> int | None:
+        """Return when the pending flows can be decided at the latest, in ms."""
+        if not self.pending or not self.view_fresh or self.finding:
             return None
-        return self.view_since + SURE_MS
+        return self.view_since + VIEW_AGE_MS
 
     def next_search_due(self) -> int | None:
         """Return when the next single search wants to go on, in ms."""
@@ -119,29 +119,31 @@
         found.due = due
         heapq.heappush(self.dues, (due, found.flow))
 
-    def sure(self, now: int) -> bool:
+    def view_confirmed(self, now: int) -> bool:
         """Tell whether the view is the store's present word, and nobody is missing in it.
 
-        It has been for a while, or a seed has told of all upstreams without an entry.
+        It has been for a while, or a seed or witnesses have told of all upstreams without an entry.
         """
-        return self.view_fresh and (self.vouching.vouched or now - self.view_since >= SURE_MS)
+        if not self.view_fresh:
+            return False
+        return self.confirmation.confirmed or now - self.view_since >= VIEW_AGE_MS
 
     def set_fresh(self, fresh: bool, now: int) -> None:
         """Note whether the view is the store's present word."""
         if fresh and not self.view_fresh:
             self.view_since = now
-            self.vouching.view_began(now)
+            self.confirmation.view_began(now)
         self.view_fresh = fresh
 
     def unreachable(self, now: int) -> bool:
         """Tell whether no sidecar has answered for a while, though some were asked."""
         return self.unheard_since is not None and now - self.unheard_since > UNREACHABLE_MS
 
-    def decide_later(self, shown: packet.Packet) -> None:
-        """Keep a packet of a flow that was not found until the view is sure."""
-        if len(self.undecided) >= MAX_UNDECIDED:
-            del self.undecided[next(iter(self.undecided))]
-        self.undecided[shown.flow] = shown
+    def keep_pending(self, received: packet.Packet) -> None:
+        """Keep a packet of a flow that was not found until the view is confirmed."""
+        if len(self.pending) >= MAX_PENDING:
+            del self.pending[next(iter(self.pending))]
+        self.pending[received.flow] = received
 
     def note_placed(self, upstream: fleet.Upstream, now: int) -> None:
         """Note that a new flow was placed on the upstream just now."""
@@ -168,8 +170,8 @@
     def remember(self, flow: packet.Flow, upstream: fleet.Upstream, now: int) -> Home:
         """Remember where a flow lives."""
         home = self.homes[flow] = Home(upstream, now)
-        self.nowhere.pop(flow, None)
-        self.undecided.pop(flow, None)
+        self.missing_since.pop(flow, None)
+        self.pending.pop(flow, None)
         return home
 
     def ask_next(self, found: search.Search, now: int) -> list[effects.Effect]:
--- a/src/ebonystile/core/carrying/table.py
+++ b/src/ebonystile/core/carrying/table.py
@@ -142,24 +142,24 @@
         self.busy.pop(flow, None)
         self.pending.pop(flow, None)
 
-    def from_caller(self, held: Held, shown: packet.Packet, now: int) -> None:
+    def from_caller(self, held: Held, received: packet.Packet, now: int) -> None:
         """Note a packet that goes to the upstream: new data means work there."""
         held.seen_at = now
         held.held = True
-        if shown.closes:
+        if received.closes:
             held.closed_by_caller = True
-        if shown.aborts:
+        if received.aborts:
             held.closed_by_caller = held.closed_by_upstream = True
-            if self.busy.pop(shown.flow, None) is not None:
+            if self.busy.pop(received.flow, None) is not None:
                 self.results.failed(now)
-        if not shown.length:
+        if not received.length:
             return
-        end = (shown.sequence + shown.length) % POSITIONS
+        end = (received.sequence + received.length) % POSITIONS
         if held.asked_end is None or 0 < (end - held.asked_end) % POSITIONS < POSITIONS // 2:
             held.asked_end = end
-            self.busy.pop(shown.flow, None)
-            self.busy[shown.flow] = now
-            self.pending.pop(shown.flow, None)
+            self.busy.pop(received.flow, None)
+            self.busy[received.flow] = now
+            self.pending.pop(received.flow, None)
 
     def from_upstream(self, held: Held, sent: packet.Packet, now: int) -> None:
         """Note a packet of the upstream: data means that its work for the flow is done."""
--- a/src/ebonystile/operator/carried.py
+++ b/src/ebonystile/operator/carried.py
@@ -18,7 +18,7 @@
     "open_refused": "A sidecar refused it: {reason}.",
     "open_returned": "Its upstream had no room and returned the opening packet.",
     "found": "A balancer that did not know it found it at {upstream} after {searched_ms} ms.",
-    "shown": "No sidecar knew it; {upstreams} upstreams with fresh sidecars were shown a packet, "
+    "probed": "No sidecar knew it; {upstreams} upstreams with fresh sidecars were probed, "
     "{unanswered} sidecars did not answer.",
     "not_found": "Nobody held it: {answered} of {asked} sidecars answered within {searched_ms} ms "
     "(caller told: {reset}).",
--- a/src/ebonystile/peer/carrying.py
+++ b/src/ebonystile/peer/carrying.py
@@ -23,10 +23,10 @@
 QUESTION = struct.Struct("!12sI")
 ANSWER_MANY = struct.Struct("!BIQQHIHHBB")
 
-ASK_TYPE, ANSWER_TYPE, OPEN_TYPE, CARRY_TYPE, SHOW_TYPE, RETURN_TYPE = range(1, 7)
+ASK_TYPE, ANSWER_TYPE, OPEN_TYPE, CARRY_TYPE, PROBE_TYPE, RETURN_TYPE = range(1, 7)
 ASK_MANY_TYPE, ANSWER_MANY_TYPE = 7, 8
 ANNOUNCE_TYPE, ASK_UNLISTED_TYPE, ANSWER_UNLISTED_TYPE = 9, 10, 11
-SHOW_MANY_TYPE = 12
+PROBE_MANY_TYPE = 12
 
 LENGTH = struct.Struct("!H")
 
@@ -120,14 +120,14 @@
 
 
 @pack.register
-def _(message: messages.Show):
-    return PLAIN.pack(SHOW_TYPE) + message.raw
+def _(message: messages.Probe):
+    return PLAIN.pack(PROBE_TYPE) + message.raw
 
 
 @pack.register
-def _(message: messages.ShowMany):
+def _(message: messages.ProbeMany):
     parts = (LENGTH.pack(len(raw)) + raw for raw in message.raws)
-    return PLAIN.pack(SHOW_MANY_TYPE) + b"".join(parts)
+    return PLAIN.pack(PROBE_MANY_TYPE) + b"".join(parts)
 
 
 @pack.register
@@ -198,7 +198,7 @@
     return messages.Open(service, version, data[OPEN.size :])
 
 
-def read_show_many(data: bytes) -> messages.ShowMany:
+def read_probe_many(data: bytes) -> messages.ProbeMany:
     """Return the packets; raise `ValueError` where one is cut off."""
     raws = []
     at = PLAIN.size
@@ -209,7 +209,7 @@
             raise ValueError("packet cut off")
         raws.append(data[at : at + length])
         at += length
-    return messages.ShowMany(tuple(raws))
+    return messages.ProbeMany(tuple(raws))
 
 
 def read_return(data: bytes) -> messages.Return:
@@ -241,8 +241,8 @@
     ANSWER_TYPE: read_answer,
     OPEN_TYPE: read_open,
     CARRY_TYPE: lambda data: messages.Carry(data[1:]),
-    SHOW_TYPE: lambda data: messages.Show(data[1:]),
-    SHOW_MANY_TYPE: read_show_many,
+    PROBE_TYPE: lambda data: messages.Probe(data[1:]),
+    PROBE_MANY_TYPE: read_probe_many,
     RETURN_TYPE: read_return,
     ASK_MANY_TYPE: read_ask_many,
     ANSWER_MANY_TYPE: read_answer_many,
--- a/tests/carrying/matrix.py
+++ b/tests/carrying/matrix.py
@@ -30,7 +30,7 @@
 own got none."""
 
 PACKET_STEPS = ("first packet", "packet of an open flow", "Open", "Carry", "accepted", "answered")
-QUESTION_STEPS = ("Ask", "Answer", "AskMany", "AnswerMany", "Show", "Return")
+QUESTION_STEPS = ("Ask", "Answer", "AskMany", "AnswerMany", "Probe", "Return")
 MESSAGE_STEPS = (*PACKET_STEPS, *QUESTION_STEPS)
 """Steps that are messages, by `World.delays`."""
 
@@ -39,7 +39,7 @@
 
 STEPS = (*MESSAGE_STEPS, *MOMENTS)
 FREQUENT = frozenset({"packet of an open flow", "Carry", "answered"})
-RARE = frozenset({"AskMany", "AnswerMany", "Show", "Return", *MOMENTS})
+RARE = frozenset({"AskMany", "AnswerMany", "Probe", "Return", *MOMENTS})
 
 TEST_SEEDS = 1
 """Seeds of each cell in the tests; `scripts/fault-matrix` plays more."""
@@ -406,7 +406,7 @@
             if core.searches or core.queued or core.homes or core.finding:
                 self.found.append("a balancer keeps something of flows that are over")
         for node in self.sidecars:
-            if node.alive and (node.core.table.flows or node.core.shown):
+            if node.alive and (node.core.table.flows or node.core.probed):
                 self.found.append("a sidecar keeps something of flows that are over")
 
 
--- a/tests/carrying/test_announcing.py
+++ b/tests/carrying/test_announcing.py
@@ -15,8 +15,8 @@
         node.core.announcer.seeds = tuple(seed.address for seed in seeds)
     for node in scene.balancers:
         others = tuple(seed.address for seed in seeds if seed is not node)
-        node.core.vouching.seeds = others
-        node.core.vouching.is_seed = node in seeds
+        node.core.confirmation.seeds = others
+        node.core.confirmation.is_seed = node in seeds
 
 
 def view_begins(scene, nodes):
@@ -48,7 +48,7 @@
     seed_with(scene, scene.balancers[1])
     view_begins(scene, scene.balancers)
     scene.ask(caller, b"again")
-    scene.run(announcing.VOUCHED_MS)
+    scene.run(announcing.SEED_LISTENED_MS)
     assert caller.resets == 0
     scene.run(100)
     assert caller.resets == 1
@@ -68,7 +68,7 @@
     scene.restart_balancer(scene.balancers[0])
     view_begins(scene, scene.balancers)
     scene.ask(caller, b"again")
-    scene.run(announcing.WITNESSED_MS - 300 - 20)
+    scene.run(announcing.WITNESS_LISTENED_MS - 300 - 20)
     assert caller.resets == 0
     scene.run(announcing.ASK_EVERY_MS + 100)
     assert caller.resets == 1
@@ -94,7 +94,7 @@
     assert caller.answer.endswith(b"again")
 
 
-def test_witnesses_do_not_vouch_for_a_list_that_is_still_filling():
+def test_witnesses_do_not_confirm_a_list_that_is_still_filling():
     """Entries come back one by one after an outage, so that everybody's list grows.
 
     With it changes who the witnesses are: a sidecar without an entry may have told others than a
@@ -109,25 +109,25 @@
     view_begins(scene, scene.balancers)
     scene.ask(caller, b"again")
     for address, entry in list(listed.items())[4:]:
-        scene.run(announcing.WITNESSED_MS // 2)
+        scene.run(announcing.WITNESS_LISTENED_MS // 2)
         scene.entry_of[address] = entry
         scene.known(scene.sidecars)
-        assert not scene.balancers[0].core.vouching.vouched
+        assert not scene.balancers[0].core.confirmation.confirmed
 
 
 def test_two_witnesses_are_not_enough():
-    vouching = announcing.Vouching((), False, 0)
-    vouching.view_began(0)
+    confirmation = announcing.Confirmation((), False, 0)
+    confirmation.view_began(0)
     witnesses = (("10.0.0.1", 1), ("10.0.0.2", 1), ("10.0.0.3", 1), ("10.0.0.4", 1))
     for witness in (*witnesses[:2], witnesses[0], ("10.0.0.9", 1)):
-        vouching.take(witness, announcing.WITNESSED_MS, witnesses)
-    vouching.take(witnesses[2], announcing.WITNESSED_MS - 1, witnesses)
-    assert not vouching.vouched
-    vouching.take(witnesses[2], announcing.WITNESSED_MS, witnesses)
-    assert vouching.vouched
+        confirmation.take(witness, announcing.WITNESS_LISTENED_MS, witnesses)
+    confirmation.take(witnesses[2], announcing.WITNESS_LISTENED_MS - 1, witnesses)
+    assert not confirmation.confirmed
+    confirmation.take(witnesses[2], announcing.WITNESS_LISTENED_MS, witnesses)
+    assert confirmation.confirmed
 
 
-def test_a_seed_vouches_for_itself():
+def test_a_seed_confirms_its_own_view():
     scene = world.World(balancers=1)
     caller = scene.open()
     restart_everything(scene, upstreams=True)
@@ -153,9 +153,9 @@
     view_begins(scene, scene.balancers)
     if seeds == "just started":
         scene.balancers[1].core.started_at = scene.now + 10 * SECOND
-        scene.balancers[1].core.vouching.started_at = scene.now + 10 * SECOND
+        scene.balancers[1].core.confirmation.started_at = scene.now + 10 * SECOND
     scene.ask(caller, b"again")
-    scene.run(state.SURE_MS - 50)
+    scene.run(state.VIEW_AGE_MS - 50)
     assert caller.resets == 0
     scene.run(200)
     assert caller.resets == 1
@@ -215,7 +215,7 @@
     gone.alive = False
     view_begins(scene, scene.balancers)
     scene.ask(caller, b"again")
-    scene.run(announcing.VOUCHED_MS + 250)
+    scene.run(announcing.SEED_LISTENED_MS + 250)
     assert caller.resets == 1
 
 
@@ -255,7 +255,7 @@
     assert len(carrying.pack(sent.message)) <= 1_200
 
 
-def test_a_seed_that_can_t_name_all_sidecars_without_an_entry_vouches_for_nothing():
+def test_a_seed_that_can_t_name_all_sidecars_without_an_entry_confirms_nothing():
     """The store has lost all entries in an outage, and every process has just started.
 
     The seed has heard more sidecars than one answer holds. If its word made the asker's view sure,
@@ -267,11 +267,11 @@
     for number in range(announcing.MOST_TOLD + 1):
         source = (f"10.9.0.{number}", 7720)
         seed.core.on_message(messages.Announce(False, False), None, source, scene.now)
-    scene.run(announcing.VOUCHED_MS)
+    scene.run(announcing.SEED_LISTENED_MS)
     view_begins(scene, [asker])
     (sent,) = seed.core.on_message(messages.AskUnlisted(), None, asker.address, scene.now)
     asker.core.on_message(sent.message, None, seed.address, scene.now)
-    assert not asker.core.sure(scene.now)
+    assert not asker.core.view_confirmed(scene.now)
 
 
 def test_a_balancer_reads_from_a_sidecar_that_offers_itself():
@@ -295,7 +295,7 @@
 def test_few_flows_wait_for_a_sure_view():
     scene = world.World(balancers=1)
     core = scene.balancers[0].core
-    for number in range(state.MAX_UNDECIDED + 10):
+    for number in range(state.MAX_PENDING + 10):
         flow = packet.end_of("100.64.0.7", number + 1) + packet.end_of(*world.ROUTE)
-        core.decide_later(packet.Packet(flow, b"", 0, 0, 0))
-    assert len(core.undecided) == state.MAX_UNDECIDED
+        core.keep_pending(packet.Packet(flow, b"", 0, 0, 0))
+    assert len(core.pending) == state.MAX_PENDING
--- a/tests/carrying/test_crowded.py
+++ b/tests/carrying/test_crowded.py
@@ -90,7 +90,7 @@
 
 def test_a_flow_does_not_wait_longer_than_its_caller(monkeypatch):
     """The rush does not end; after 0.8 s the flow goes to the least busy upstream all the same."""
-    monkeypatch.setattr(placing.Standing, "crowded", True)
+    monkeypatch.setattr(placing.Standing, "overloaded", True)
     scene = Rush(upstreams=2)
     (caller,) = newcomers(scene, 1)
     scene.run(opening.HOLD_MS - 30)
--- a/tests/carrying/test_datagrams.py
+++ b/tests/carrying/test_datagrams.py
@@ -47,8 +47,8 @@
     ),
     strategies.builds(messages.Open, NUMBER, NUMBER, RAW),
     strategies.builds(messages.Carry, RAW),
-    strategies.builds(messages.Show, RAW),
-    strategies.builds(messages.ShowMany, strategies.lists(RAW, max_size=8).map(tuple)),
+    strategies.builds(messages.Probe, RAW),
+    strategies.builds(messages.ProbeMany, strategies.lists(RAW, max_size=8).map(tuple)),
     strategies.builds(messages.Return, strategies.sampled_from(messages.Reason), NUMBER, RAW),
     strategies.builds(messages.Announce, strategies.booleans(), strategies.booleans()),
     strategies.builds(messages.AskUnlisted),
@@ -96,6 +96,6 @@
 
 
 def test_a_cut_off_packet_among_several_is_refused():
-    whole = carrying.pack(messages.ShowMany((b"first", b"second")))
+    whole = carrying.pack(messages.ProbeMany((b"first", b"second")))
     with pytest.raises(errors.DatagramError):
         carrying.unpack(whole[:-1])
--- a/tests/carrying/test_loss.py
+++ b/tests/carrying/test_loss.py
@@ -47,7 +47,7 @@
     scene.ask(caller, b"again")
     scene.run(60)
     assert caller.resets == 1
-    assert not messages_of(scene, messages.Show)
+    assert not messages_of(scene, messages.Probe)
 
 
 def test_a_sidecar_restarted_beside_an_upstream_that_is_through_with_its_start_is_unsure():
@@ -64,7 +64,7 @@
     caller = scene.open(zone=node.zone)
     home = scene.home_of(caller)
     scene.restart_sidecar(home)
-    assert home.core.unsure(scene.now)
+    assert home.core.incomplete(scene.now)
     scene.restart_balancer(caller.through)
     scene.ask(caller, b"again")
     scene.run(500)
@@ -81,7 +81,7 @@
     node = scene.sidecars[0]
     scene.entry(node, warm_at=scene.now + 2_000)
     scene.restart_sidecar(node)
-    assert node.core.unsure(scene.now)
+    assert node.core.incomplete(scene.now)
 
 
 def test_many_callers_of_a_large_fleet_are_told_soon_after_a_loss_of_everything():
@@ -97,7 +97,7 @@
         scene.ask(caller, b"again")
     scene.run(SECOND)
     assert all(caller.resets == 1 for caller in callers)
-    assert not messages_of(scene, messages.Show)
+    assert not messages_of(scene, messages.Probe)
     assert len(scene.sent) < 20_000
 
 
@@ -134,10 +134,10 @@
     scene.sent.clear()
     scene.ask(caller, b"again")
     scene.run(150)
-    assert len(messages_of(scene, messages.Show)) <= search.SHOWN_EARLY
+    assert len(messages_of(scene, messages.Probe)) <= search.PROBED_EARLY
     assert caller.resets == 0
-    scene.run(state.SURE_MS + 500)
-    assert len(messages_of(scene, messages.Show)) >= 59
+    scene.run(state.VIEW_AGE_MS + 500)
+    assert len(messages_of(scene, messages.Probe)) >= 59
     assert caller.resets == 1
 
 
@@ -238,7 +238,7 @@
     scene.run(400)
     assert caller.resets == 0 and caller.answer.endswith(b"again")
     scene.run(300)
-    assert home.core.unsure(scene.now)
+    assert home.core.incomplete(scene.now)
 
 
 def test_a_sidecar_that_read_an_old_list_first_still_knows_that_its_upstream_is_new():
@@ -254,10 +254,10 @@
     for entry in (*scene.lapsing, *scene.entry_of.values()):
         core.fleet.put(entry)
     core.view_changed(scene.now)
-    assert core.unsure(scene.now)
+    assert core.incomplete(scene.now)
     core.view_fresh = True
     core.view_changed(scene.now)
-    assert not core.unsure(scene.now)
+    assert not core.incomplete(scene.now)
 
 
 def test_flows_shown_to_many_upstreams_share_their_messages():
@@ -279,7 +279,7 @@
         scene.ask(caller, b"again")
     scene.run(2 * SECOND)
     assert all(caller.resets == 1 for caller in callers)
-    together = messages_of(scene, messages.ShowMany)
+    together = messages_of(scene, messages.ProbeMany)
     assert sum(len(message.raws) for message in together) > 4 * len(together)
 
 
--- a/tests/carrying/test_paths.py
+++ b/tests/carrying/test_paths.py
@@ -285,7 +285,7 @@
     scene.set_routes(2, {world.ROUTE: "t"})
     scene.restart_balancer(caller.through)
     for balancer in scene.balancers:
-        balancer.core.wide.full_at = scene.now + 1_000 * SECOND
+        balancer.core.fanout.full_at = scene.now + 1_000 * SECOND
     scene.ask(caller, b"again")
     scene.run(300)
     assert caller.answer.endswith(b"again")
@@ -395,10 +395,10 @@
     scene = world.World(upstreams=2)
     node = scene.sidecars[0]
     scene.restart_sidecar(node)
-    assert node.core.unsure(scene.now)
+    assert node.core.incomplete(scene.now)
     scene.entry(node, name="u9", warm_at=scene.now + 2_000)
     scene.known()
-    assert not node.core.unsure(scene.now)
+    assert not node.core.incomplete(scene.now)
 
 
 def test_an_entry_that_is_back_after_a_loss_of_power_is_no_new_upstream():
@@ -415,7 +415,7 @@
     scene.restart_sidecar(home)
     scene.entry_of[home.address] = entry
     scene.known()
-    assert home.core.unsure(scene.now)
+    assert home.core.incomplete(scene.now)
     scene.restart_balancer(caller.through)
     scene.ask(caller, b"again")
     scene.run(500)
@@ -435,7 +435,7 @@
     """All processes of a larger fleet are killed at once; 200 flows live on at their upstreams.
 
     A flow was placed on one of the first of its rank, so these are shown its packet first. Asking
-    and showing everybody for each flow would take a balancer 20 s.
+    and probes everybody for each flow would take a balancer 20 s.
     """
     scene = world.World(zones=("a",), upstreams=40, balancers=1)
     callers = [scene.open(40_000 + n) for n in range(200)]
@@ -449,7 +449,7 @@
 
 
 def test_a_silent_upstream_does_not_keep_callers_waiting_for_flows_that_are_gone():
-    """All processes and upstreams restart; one upstream stays down, its sidecar is unsure.
+    """All processes and upstreams restart; one upstream stays down, its sidecar is incomplete.
 
     Whether a flow lived there nobody can say any more. It is shown two packets and leaves both
     unanswered, so the caller is told after the second copy and not at its own time limit.
@@ -572,6 +572,6 @@
     scene.ask(caller, b"x" * 1_200)
     scene.run(600)
     sent = [message for _, _, message in scene.sent]
-    assert sum(isinstance(message, messages.Show) for message in sent) == len(scene.sidecars)
+    assert sum(isinstance(message, messages.Probe) for message in sent) == len(scene.sidecars)
     assert not any(isinstance(message, messages.Return) for message in sent)
     assert caller.resets == 1
--- a/tests/carrying/world.py
+++ b/tests/carrying/world.py
@@ -110,7 +110,7 @@
             for name in set(node.core.fleet.upstreams) - {u.name for u in listed}:
                 node.core.fleet.remove(name, self.now)
             if isinstance(node.core, balancer.Balancer):
-                node.core.set_fresh(True, self.now - state.SURE_MS - 1)
+                node.core.set_fresh(True, self.now - state.VIEW_AGE_MS - 1)
             else:
                 node.core.view_fresh = True
                 node.core.view_changed(self.now)
@@ -204,13 +204,13 @@
         node = self.nodes[target]
         if not node.alive or self.now < node.frozen_until or not self.reaches(origin, target):
             return
-        if isinstance(message, messages.ShowMany):
+        if isinstance(message, messages.ProbeMany):
             for raw in message.raws:
-                self.at_node(origin, target, messages.Show(raw))
+                self.at_node(origin, target, messages.Probe(raw))
             return
         raw = getattr(message, "raw", None)
-        shown = packets.from_caller(raw) if raw is not None else None
-        self.carry_out(node, node.core.on_message(message, shown, origin, self.now))
+        received = packets.from_caller(raw) if raw is not None else None
+        self.carry_out(node, node.core.on_message(message, received, origin, self.now))
 
     def at_upstream(self, node, raw):
         for sent in node.upstream.on_packet(raw):
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -19,6 +19,7 @@
 )
 CARRYING_TESTS = (
     "tests/carrying/test_paths.py",
+    "tests/carrying/test_loss.py",
     "tests/carrying/test_table.py",
     "tests/carrying/test_reading.py",
     "tests/carrying/test_sourcing.py",
@@ -275,7 +276,7 @@
         "    if target is None:\n",
     ),
     Mutation(
-        "undecided flow not taken back",
+        "pending flow not taken back",
         CORE + "calls/handover.py",
         "if known is not None and known.handover is not None and not comes_back(known, message):",
         "if False:",
@@ -407,7 +408,7 @@
         "if False:",
     ),
     Mutation(
-        "a restarted sidecar is unsure",
+        "a restarted sidecar is incomplete",
         CORE + "carrying/sidecar.py",
         "return not self.saw_start and now - self.started_at < self.current.routes.idle",
         "return False",
@@ -415,7 +416,7 @@
     Mutation(
         "absent flows are shown once",
         CORE + "carrying/sidecar.py",
-        "if shown.flow in self.absent or not self.unsure(now):",
+        "if shown.flow in self.absent or not self.incomplete(now):",
         "if False:",
     ),
     Mutation(
@@ -433,19 +434,19 @@
     Mutation(
         "few upstreams shown blindly",
         CORE + "carrying/finding.py",
-        "unsure = unsure[: max(0, search.SHOWN_BLIND - len(found.shown))]",
+        "incomplete = incomplete[: max(0, search.PROBED_BLIND - len(found.probed))]",
         "pass",
     ),
     Mutation(
-        "a seed that has just started vouches for nothing",
+        "a seed that has just started confirms nothing",
         CORE + "carrying/announcing.py",
-        "if listening >= VOUCHED_MS and self.ask_at is not None:",
+        "if listening >= SEED_LISTENED_MS and self.ask_at is not None:",
         "if self.ask_at is not None:",
     ),
     Mutation(
         "flows found nowhere are decided once the view is sure",
         CORE + "carrying/balancer.py",
-        "            self.decide_later(last, now)\n",
+        "            self.keep_pending(last, now)\n",
         "            pass\n",
     ),
     Mutation(
@@ -463,7 +464,7 @@
     Mutation(
         "an empty list ends no flow",
         CORE + "carrying/balancer.py",
-        "if not begun.goes_on and (shown.opens or self.sure(now)):",
+        "if not begun.goes_on and (shown.opens or self.view_confirmed(now)):",
         "if not begun.goes_on:",
     ),
     Mutation(
@@ -487,7 +488,7 @@
     Mutation(
         "no reset by an old view",
         CORE + "carrying/state.py",
-        "return self.view_fresh and (self.vouching.vouched or now - self.view_since >= SURE_MS)",
+        "return self.confirmation.confirmed or now - self.view_since >= VIEW_AGE_MS",
         "return True",
     ),
     Mutation(
@@ -559,7 +560,69 @@
     Mutation(
         "finding forgets that a flow was nowhere",
         CORE + "carrying/state.py",
-        "        self.nowhere.pop(flow, None)\n",
+        "        self.missing_since.pop(flow, None)\n",
+        "",
+    ),
+    Mutation(
+        "an upstream through with its start is no new one",
+        CORE + "carrying/sidecar.py",
+        "if now >= own.warm_at:",
+        "if False:",
+    ),
+    Mutation(
+        "an upstream that answers a probe is not gone",
+        CORE + "carrying/sidecar.py",
+        "        self.probed_since = None\n        self.heard_at = now\n",
+        "        self.heard_at = now\n",
+    ),
+    Mutation(
+        "witnesses agree",
+        CORE + "carrying/announcing.py",
+        ">= WITNESSES_AGREED:",
+        ">= 1:",
+    ),
+    Mutation(
+        "a growing list confirms nothing",
+        CORE + "carrying/sidecar.py",
+        "return now - max(self.started_at, self.grown_at) if self.view_fresh else 0",
+        "return now - self.started_at if self.view_fresh else 0",
+    ),
+    Mutation(
+        "few upstreams probed before the view is confirmed",
+        CORE + "carrying/finding.py",
+        "elif not known.view_confirmed(now):",
+        "elif False:",
+    ),
+    Mutation(
+        "probes share messages",
+        CORE + "carrying/finding.py",
+        "if len(unknown) > search.FIRST_WAVE:",
+        "if False:",
+    ),
+    Mutation(
+        "a late answer ends no search",
+        CORE + "carrying/finding.py",
+        "    if found.flow not in known.batch.waiting:\n",
+        "    if known.batch.waiting.pop(found.flow, None):\n"
+        "        return known.end(found)\n"
+        "    if found.flow not in known.batch.waiting:\n",
+    ),
+    Mutation(
+        "silent ones are not waited for by each caller",
+        CORE + "carrying/finding.py",
+        " if u.address not in known.silence]",
+        "]",
+    ),
+    Mutation(
+        "an old state is followed by a watch at once",
+        CORE + "carrying/reading.py",
+        "self.provisional = not current or self.may_be_old",
+        "self.provisional = not current",
+    ),
+    Mutation(
+        "only a start reads an old state",
+        CORE + "carrying/reading.py",
+        "        self.may_be_old = False\n",
         "",
     ),
     Mutation(
