--- a/src/ebonystile/carrier/shell.py
+++ b/src/ebonystile/carrier/shell.py
@@ -27,12 +27,8 @@
 """Time that only the boot-time clock has counted, after which the instance was suspended."""
 
 BUFFER_BYTES = 256 << 10
-"""Socket buffer asked for, in bytes: some hundred datagrams, 20 to 50 ms of work.
-
-What waits longer is worth nothing: questions are given up after 350 ms, callers send again after
-200 ms. With 8 MB, instances that were behind after an outage worked through seconds of such
-datagrams and stayed behind for 14 s, until callers came less often.
-"""
+"""Socket buffer asked for, in bytes: some hundred datagrams, 20 to 50 ms of work. What waits longer
+is worth nothing, as callers have sent again by then, and would keep the process behind."""
 
 
 def suspended_ns() -> int:
--- a/src/ebonystile/core/carrying/announcing.py
+++ b/src/ebonystile/core/carrying/announcing.py
@@ -31,16 +31,12 @@
 """How often a sidecar that others may read from says so, in ms."""
 
 SEED_LISTENED_MS = 2 * UNLISTED_EVERY_MS
-"""How long a seed must have listened, and a balancer had its view, in ms, for the seed's word to
-hold: two announcements, of which one may be lost.
-
-With 1 s for everybody, and lost flows decided at their callers' next copies, 2.4% of a day's
-requests failed where all instances lost power once; with this 1.8% (17 instances, six days).
-"""
+"""How long a seed must have listened, and a balancer had its view, in ms, for the seed's answer to
+confirm it: two announcements, of which one may be lost."""
 
 WITNESSES, WITNESSES_AGREED = 4, 3
 """Sidecars that are told of those without an entry, and how many of them must agree that they have
-heard of all. One more or less in a reader's list changes one of the four at most."""
+heard of all. An entry more or less in somebody's list changes one of the four at most."""
 
 WITNESS_LISTENED_MS = 500
 """How long a witness must have listened, its list unchanged, in ms: instances that lost power
@@ -48,8 +44,8 @@
 
 ASK_EVERY_MS = 100
 ASK_FOR_MS = 1_000
-"""How often, and for how long, a balancer asks the seeds, in ms; by then its view is sure without
-them."""
+"""How often, and for how long, a balancer asks seeds and witnesses, in ms; by then its view is
+confirmed by its age."""
 
 MOST_TOLD = 128
 """Sidecars named in one answer, 6 bytes each."""
@@ -163,7 +159,7 @@
     """Return what this process, which has listened for so many ms, tells of those without an entry.
 
     If there are more than one answer holds, it says that it has not listened: the asker must not
-    take its view for sure, and tell callers of those left out that their flows are gone.
+    take its view for confirmed, and tell callers of those left out that their flows are gone.
     """
     told = [upstream.address for upstream in known.perhaps_alive()]
     heard_all = len(told) <= MOST_TOLD
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -34,8 +34,8 @@
 """How often an unreachable balancer tries another sidecar, in ms."""
 
 SWEEP_MS = 1_000
-"""How often flows that are over are forgotten, in ms. To visit 30,500 of them, a balancer's share
-of 61 million, takes 5 ms of processor: 0.5% of a core, which at each tick would be 2.5%."""
+"""How often flows that are over are forgotten, in ms: a visit to all of them at each tick would be
+the largest work of an idle balancer."""
 
 NO_FLOW = bytes(12)
 """A flow that does not exist, for a question that is only to be answered."""
@@ -118,8 +118,7 @@
     def begin_pending(self, now: int) -> list[effects.Effect]:
         """Look once more for the flows that were not found before the view was confirmed.
 
-        Left to the callers' next copies, half of those whose flows were lost with all upstreams
-        learned of it too late to be served in their time.
+        Left to the callers' next copies, many would learn too late to be served in their time.
         """
         todo: list[effects.Effect] = []
         while self.pending and self.finding < MAX_FINDING and self.view_confirmed(now):
--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -11,7 +11,7 @@
 
 FINDING_SINGLY = 16
 """Searches for open flows under way from which on further ones ask everybody, many flows in one
-message: 300 flows then take 800 messages in place of 13,000."""
+message."""
 
 QUEUE_MS, MAX_QUEUED = 400, 1_000
 """How long, in ms, and how many packets of open flows wait for a search to begin; callers send
@@ -25,12 +25,11 @@
 drops the entry of an upstream that it can't hear, which may serve its flows all the same."""
 
 CONFIRM_MS = 60
-"""Time between two searches that both found a flow nowhere before its caller is told, in ms.
+"""Time between two searches in a row for a flow, in ms.
 
 An upstream may have been started a moment ago and be unknown here while it holds the flow. Whoever
 placed a flow there learned of it from a sidecar that reads the store, and that is asked as well: as
-long as it has read further than this process, nobody is told. Waiting for the caller to send again,
-200 ms later, made half of the requests late that came on flows lost in an outage.
+long as it has read further than this process, nobody is told.
 """
 
 MOST_LOOKS = 4
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -66,9 +66,8 @@
 ) -> list[tuple[fleet.Upstream, messages.Load]]:
     """Return the loads that sidecars told, with the flows placed there since they were asked.
 
-    Callers come at the same moment after an outage. The answers about all of them were given
-    before the first one had arrived, so 23 of 30 went to the upstream that had the least work then,
-    and it refused them.
+    Callers come at the same moment after an outage. The answers about all of them are given before
+    the first one has arrived, and most would go to the upstream that had the least work then.
     """
     placed = known.placed_since(found.asked_at)
     return [
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -11,23 +11,18 @@
 from ebonystile.core.placing import ranking
 
 NEAR = 8
-"""Upstreams of the own availability zone asked at once. With 9 in a zone at four fifths of their
-load, three are all busy half of the time and eight seldom; what is asked within a zone is free."""
+"""Upstreams of the own availability zone asked at once; what is asked within a zone is free."""
 
 CANDIDATES = 3
 """Upstreams of other zones asked at a time: with three, the least busy is nearly that of all
 (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 2001)."""
 
 ZONE_COST = 1.0
-"""Cost that another availability zone adds, in requests for each slot.
-
-Waiting for one request takes 40 ms where callers have 200 ms or more, and a request carried between
-zones pays its bytes twice over: at Recouvra an upload costs half of its worth.
-"""
+"""Cost that another availability zone adds, in requests for each slot: to wait for one request is
+short against what callers grant, and bytes between zones are paid for."""
 
 MOST_FLOW_WORK = 0.05
-"""Most requests that an open flow counts as running on average: a crew's feed asks about every 2 s
-for 30 to 50 ms of work, which is half of that."""
+"""Most requests that an open flow counts as running on average."""
 
 COLD_WORK = 1.6
 """How many times longer an upstream takes for a request in its first seconds."""
@@ -41,11 +36,8 @@
 """
 
 SLOW = 2.0
-"""How many times longer than others an upstream must take for a request to count as slow.
-
-Requests differ by half of their mean, so the mean of the last sixteen is off by an eighth; twice as
-long is no accident.
-"""
+"""How many times longer than others an upstream must take for a request to count as slow: more than
+the mean of a few requests differs by chance."""
 
 LEAST_GOOD = 0.1
 """Least share of good results that is divided by, so that the cost stays finite."""
@@ -55,11 +47,8 @@
 
 
 OVERLOADED = 4
-"""Requests for each slot, running or waiting there, from which a new flow is better held back.
-
-They take four times the usual time to be through, about as long as callers wait gladly, and an
-upstream that queues a few more refuses what comes beyond them.
-"""
+"""Requests for each slot, running or waiting there, from which a new flow is better held back: an
+upstream's queue is short, and it refuses what does not fit."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ebonystile/core/carrying/reading.py
+++ b/src/ebonystile/core/carrying/reading.py
@@ -16,12 +16,9 @@
 """Longest time for a plain call, in ms: the store answers in 4 ms, at its slowest in 300."""
 
 BEGIN_MS = 600
-"""How long the answer of a plain call may take to begin, in ms: the store's slowest took 0.4 s.
-
-A store that keeps silent held a start for 1.5 s, half of the time that its callers had. The limit
-of the whole call must stay longer: the narrowest links carry a large configuration in over a
-second.
-"""
+"""How long the answer of a plain call may take to begin, in ms, so that a silent store holds up no
+start. The limit of the whole call is longer: a large configuration takes its time on the
+narrowest links."""
 
 WATCH_MS = 5_000
 """How long a watch waits for news, in ms. A lost answer leaves the process without news until the
--- a/src/ebonystile/core/carrying/search.py
+++ b/src/ebonystile/core/carrying/search.py
@@ -16,8 +16,7 @@
 
 UNLISTED_MS = 120
 """How long sidecars without an entry are waited for when nobody else is, in ms: an instance whose
-share of a core is used up stands still for up to 100 ms. Most of them are gone with their
-instances, and for each flow lost with all upstreams its caller waited for 350 ms more."""
+share of a core is used up stands still for up to 100 ms, and most of them are gone for good."""
 
 PROBE_MS = 400
 """How long an upstream that was probed is waited for, in ms."""
--- a/src/ebonystile/core/carrying/sourcing.py
+++ b/src/ebonystile/core/carrying/sourcing.py
@@ -21,10 +21,8 @@
 SIDECARS_EACH = 50
 """Sidecars of a zone for each watcher, where they are more than 100.
 
-A relay holds a connection for each reader and sends it every change. With two watchers whatever the
-size, the busiest of 300 instances had 263 connections and sent 223 kB/s; its server drops the
-oldest connection beyond 256, so that with some 700 instances readers would have pushed one another
-out again and again. 50 leave room for the readers of relays that have failed.
+A relay holds a connection for each reader and sends it every change, and its server drops the
+oldest connection beyond 256. 50 leave room for the readers of relays that have failed.
 """
 
 MAX_ANNOUNCED = 8
@@ -65,8 +63,8 @@
     def refresh(self, known: fleet.Fleet) -> None:
         """Work out anew who watches the store, if the list has changed.
 
-        Every watch that ends asks for it, once a second at least. For 16,000 upstreams it takes
-        17 ms of processor, which would be 1.7% of a core on every instance for nothing.
+        Every watch that ends asks for it, once a second at least, and to sort thousands of
+        upstreams each time would cost more than all else that an idle process does.
         """
         if known.index is self.index:
             return
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -22,21 +22,16 @@
 
 FANOUT_PER_S, FANOUT_BURST = 1_000, 300
 """Messages a second, and at once, for searches beyond their first wave: these ask everybody there
-is, and probe all who do not know.
-
-A message and its answer cost 100 microseconds. After an outage all flows are looked for; 40 wide
-searches at once, one message each for 64 sidecars, kept a balancer with half a core from answering
-for 350 ms.
-"""
+is, and probe all who do not know. Unbounded, the searches after an outage would keep a balancer
+from answering new flows."""
 
 UNREACHABLE_MS = 800
 """Silence of all sidecars asked after which this balancer asks the fabric for no more packets."""
 
 VIEW_AGE_MS = 1_000
 """How long this process must have had its view before it tells a caller that a flow is gone, in
-ms, where no seed can tell of upstreams without an entry: entries lost in an outage come back within
-about two heartbeats of 0.8 s, and less would judge by a list that is still filling. With 4 s,
-callers whose upstreams had crashed together with all processes waited for their own time limits."""
+ms, where nobody can tell of upstreams without an entry: entries lost in an outage of the store
+come back within about two heartbeats."""
 
 PLACED_MS = 100
 """How long a placing is remembered, in ms: answers to questions are seldom older."""
--- a/src/ebonystile/core/carrying/table.py
+++ b/src/ebonystile/core/carrying/table.py
@@ -31,8 +31,7 @@
 """How many times quicker than usual an answer is that can't be one.
 
 A grey upstream answers with an error at once; it is idle and quick, and would get all new flows.
-Requests of one service differ by half of their mean, so that an eighth of it is no accident. Where
-a service answers some requests out of a cache, all its upstreams do, and no one looks worse.
+Where a service answers some requests out of a cache, all its upstreams do, and none looks worse.
 """
 
 RECENT_RESULTS = 8
--- a/src/ebonystile/metrics.py
+++ b/src/ebonystile/metrics.py
@@ -4,8 +4,7 @@
 that exposes them only reads, and may be one event behind.
 
 The text is written here and not by the `prometheus-client` library, which the tests read it with:
-to import that takes 48 ms of processor and 8 MB, in a process of 18 MB that the smallest instances
-start with a sixth of a core.
+its imports would hold up the starts of the carriers on the smallest instances.
 """
 
 import dataclasses
--- a/src/ebonystile/platform/store.py
+++ b/src/ebonystile/platform/store.py
@@ -60,8 +60,7 @@
 def quoted(key: str) -> str:
     """Return a key as it stands in a query.
 
-    Only lists of several pages need it. The library takes a twentieth of the processor time of a
-    start, so it is loaded then.
+    Only lists of several pages need it, so the library is loaded then and holds up no start.
     """
     import urllib.parse
 
--- a/tests/carrying/test_loss.py
+++ b/tests/carrying/test_loss.py
@@ -305,7 +305,7 @@
 def test_a_search_that_ends_in_doubt_is_made_again_before_the_next_copy():
     """All machines lose power; a second later the former entries lapse, one after the other.
 
-    A caller has sent its copies while the view was not confirmed. Once it is, sidecars have read the
+    A caller has sent its copies while the view was not confirmed. Once it is, sidecars have read
     the store a little further than the balancer, which may therefore not know of an upstream. It
     has caught up a moment later, but the caller's next copy is 400 ms away.
     """
