Answer a balancer's question with no time below zero

A datagram is acted on with the time at which its turn of the loop began; the list may have grown a millisecond after that. Change: the time is 0 then. The test failed before.

--- a/src/ebonystile/core/carrying/sidecar.py
+++ b/src/ebonystile/core/carrying/sidecar.py
@@ -237,9 +237,10 @@
     def listening(self, now: int) -> int:
         """Return for how long, in ms, this process has heard of all sidecars that it does not list.
 
-        One that starts while the list is still filling does not know its witnesses yet.
+        One that starts while the list is still filling does not know its witnesses yet. A datagram
+        may be read with the time of just before the last change of the list.
         """
-        return now - max(self.started_at, self.grown_at) if self.view_fresh else 0
+        return max(0, now - max(self.started_at, self.grown_at)) if self.view_fresh else 0
 
     def on_message(
         self,
--- a/tests/carrying/test_announcing.py
+++ b/tests/carrying/test_announcing.py
@@ -115,6 +115,21 @@
         assert not scene.balancers[0].core.confirmation.confirmed
 
 
+def test_a_witness_asked_just_after_its_list_has_grown_answers():
+    """A balancer's question and a change of the list come in one turn of the sidecar's loop.
+
+    The question bears the time at which the turn began, a millisecond before the change. The answer
+    must fit into a datagram; a process that failed on it would leave its upstream without packets.
+    """
+    scene = world.World()
+    core = scene.sidecars[0].core
+    scene.add_upstream("a")
+    scene.known(scene.sidecars)
+    question = messages.AskUnlisted()
+    (sent,) = core.on_message(question, None, scene.balancers[0].address, scene.now - 1)
+    assert carrying.unpack(carrying.pack(sent.message)).listening == 0
+
+
 def test_two_witnesses_are_not_enough():
     confirmation = announcing.Confirmation((), False, 0)
     confirmation.view_began(0)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -584,8 +584,8 @@
     Mutation(
         "a growing list confirms nothing",
         CORE + "carrying/sidecar.py",
-        "return now - max(self.started_at, self.grown_at) if self.view_fresh else 0",
-        "return now - self.started_at if self.view_fresh else 0",
+        "return max(0, now - max(self.started_at, self.grown_at)) if self.view_fresh else 0",
+        "return max(0, now - self.started_at) if self.view_fresh else 0",
     ),
     Mutation(
         "few upstreams probed before the view is confirmed",
