--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -159,7 +159,7 @@
 
 
 def send_probes(known: state.State, now: int) -> list[effects.Effect]:
-    """Probe the packets that wait for that, those for one upstream together."""
+    """Send the probes that wait, those for one upstream in common messages."""
     wanted = known.probes.wanted()
     if not known.fanout.take(wanted, now):
         known.probes.due = max(now + 1, known.fanout.ready_at(wanted, now))
@@ -231,11 +231,12 @@
 
 
 def confirmed(known: state.State, found: search.Search, now: int) -> bool:
-    """Tell whether the flow's upstream is gone, or is surely nowhere.
+    """Tell whether a flow that was not found is over.
 
-    One search is enough if everybody there is has said no. If not, two in a row must have found the
-    flow nowhere. An upstream that was probed in both and has neither returned nor answered a packet
-    does not serve the flow: one that lives acknowledges the second one at once.
+    One search is enough if everybody has answered, or the upstream of its former home is gone. If
+    somebody was silent, two in a row must not have found the flow. An upstream that was probed in
+    both and has neither returned nor answered a packet does not serve the flow: one that lives
+    acknowledges the second one at once.
     """
     if found.previous is not None and not known.fleet.lives(found.previous.upstream):
         return True
