--- /dev/null
+++ b/src/ebonystile/commands/causes.py
@@ -0,0 +1,44 @@
+"""Sort the flows that had trouble by cause: `ebonystile causes`."""
+
+import click
+
+from ebonystile.commands import shell
+from ebonystile.operator import carried, causes, events, tables
+
+HEADERS = ("BEGAN", "CAUSE", "FLOWS", "MEDIAN MS", "LONGEST MS")
+
+
+@click.command("causes")
+@click.argument("logs", nargs=-1, type=click.File("r", errors="replace"))
+@click.option("--at", type=shell.MomentType(), help="Only around this time, as lines show it.")
+@click.option(
+    "--within-s", type=click.IntRange(1), default=5, show_default=True, help="How far around."
+)
+@click.option(
+    "--span-ms", type=click.IntRange(1), default=2_000, show_default=True, help="Length of a span."
+)
+@shell.telling_errors
+def show(logs, at, within_s, span_ms):
+    """Tell why callers had to wait or were not served, by the LOGS of all carrying daemons.
+
+    Each flow counts once, in the span in which its trouble began, with the time until its caller
+    was told or served. Lines that the daemons left out (`lines_suppressed`) are missing here too.
+    """
+    around = 1000 * within_s
+    since, until = (0, None) if at is None else (at - around, at + around)
+    lines = carried.select(shell.texts_of(logs), carried.Filter(since=since, until=until))
+    rows = causes.rows(causes.troubles(lines), span_ms)
+    if not rows:
+        click.echo("No flow had trouble.")
+        return
+    cells = [
+        (
+            events.time_text(row.began),
+            row.cause.value,
+            str(row.flows),
+            str(row.middle),
+            str(row.longest),
+        )
+        for row in rows
+    ]
+    click.echo(tables.render(HEADERS, cells))
--- a/src/ebonystile/commands/operator.py
+++ b/src/ebonystile/commands/operator.py
@@ -5,6 +5,7 @@
 import ebonystile
 from ebonystile.commands import (
     call,
+    causes,
     check,
     completion,
     explain,
@@ -34,6 +35,7 @@
 main.add_command(status.show)
 main.add_command(preview.show)
 main.add_command(explain.show)
+main.add_command(causes.show)
 main.add_command(logs.show)
 main.add_command(timeline.show)
 main.add_command(trace.show)
