--- a/tests/carrying/matrix.py
+++ b/tests/carrying/matrix.py
@@ -30,7 +30,16 @@
 own got none."""
 
 PACKET_STEPS = ("first packet", "packet of an open flow", "Open", "Carry", "accepted", "answered")
-QUESTION_STEPS = ("Ask", "Answer", "AskMany", "AnswerMany", "Probe", "Return")
+QUESTION_STEPS = (
+    "Ask",
+    "Answer",
+    "AskMany",
+    "AnswerMany",
+    "Probe",
+    "Return",
+    "AskUnlisted",
+    "AnswerUnlisted",
+)
 MESSAGE_STEPS = (*PACKET_STEPS, *QUESTION_STEPS)
 """Steps that are messages, by `World.delays`."""
 
@@ -39,7 +48,17 @@
 
 STEPS = (*MESSAGE_STEPS, *MOMENTS)
 FREQUENT = frozenset({"packet of an open flow", "Carry", "answered"})
-RARE = frozenset({"AskMany", "AnswerMany", "Probe", "Return", *MOMENTS})
+RARE = frozenset(
+    {
+        "AskMany",
+        "AnswerMany",
+        "Probe",
+        "Return",
+        "AskUnlisted",
+        "AnswerUnlisted",
+        *MOMENTS,
+    }
+)
 
 TEST_SEEDS = 1
 """Seeds of each cell in the tests; `scripts/fault-matrix` plays more."""
