Let a batch of probes end at what the budget gives; first probes share messages too

Found in reading the change: a batch of probes was charged one message for each upstream, but packets of uploads fill a message each: 64 flows at 47 upstreams would be 3,008 messages for 47 of the budget. With many searches under way the first probes, of the likely upstreams, are gathered as well; one by one they took most of the budget. Batches move into a module of their own. Test: 60 uploads, 40 upstreams (failed before).

--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -7,11 +7,20 @@
 import functools
 
 from ebonystile.core import view
-from ebonystile.core.carrying import effects, fleet, messages, packet, placing, search, state
+from ebonystile.core.carrying import (
+    batches,
+    effects,
+    fleet,
+    messages,
+    packet,
+    placing,
+    search,
+    state,
+)
 
 FINDING_SINGLY = 16
-"""Searches for open flows under way from which on further ones ask everybody, many flows in one
-message."""
+"""Searches for open flows under way from which on further ones ask everybody, and probe, for many
+flows in one message."""
 
 QUEUE_MS, MAX_QUEUED = 400, 1_000
 """How long, in ms, and how many packets of open flows wait for a search to begin; callers send
@@ -119,7 +128,7 @@
         unknown = unknown[: max(0, search.PROBED_BLIND - len(found.probed))]
     if not unknown:
         return None
-    if len(unknown) > search.FIRST_WAVE:
+    if len(unknown) > search.FIRST_WAVE or known.finding >= FINDING_SINGLY:
         return probe_many(known, found, unknown, now)
     if not known.fanout.take(len(unknown), now):
         return wait_for_room(known, found, len(unknown), now)
@@ -160,18 +169,18 @@
 
 def send_probes(known: state.State, now: int) -> list[effects.Effect]:
     """Send the probes that wait, those for one upstream in common messages."""
-    wanted = known.probes.wanted()
+    flows, wanted = known.probes.next_flows()
     if not known.fanout.take(wanted, now):
         known.probes.due = max(now + 1, known.fanout.ready_at(wanted, now))
         return []
     todo: list[effects.Effect] = []
     raws: dict[view.Address, list[bytes]] = {}
-    for found, upstreams in known.probes.take(known.searches, now):
+    for found, upstreams in known.probes.take(flows, known.searches, now):
         todo.append(note_probed(known, found, upstreams, now))
         for upstream in upstreams:
             raws.setdefault(upstream.address, []).append(found.packets[0].raw)
     for address, packets in raws.items():
-        groups = search.datagrams(packets)
+        groups = batches.datagrams(packets)
         todo.extend(effects.Send(address, messages.ProbeMany(group)) for group in groups)
     return todo
 
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -12,6 +12,7 @@
 from ebonystile.core import budget, view
 from ebonystile.core.carrying import (
     announcing,
+    batches,
     effects,
     fleet,
     messages,
@@ -78,8 +79,8 @@
         self.finding = 0
         self.queued: dict[packet.Flow, tuple[packet.Packet, int]] = {}
         self.dues: list[tuple[int, packet.Flow]] = []
-        self.batch = search.Batch()
-        self.probes = search.ProbeBatch()
+        self.batch = batches.AskBatch()
+        self.probes = batches.ProbeBatch()
         self.fanout = budget.Budget(FANOUT_PER_S, FANOUT_BURST)
 
     def next_due(self) -> int | None:
--- a/tests/carrying/test_loss.py
+++ b/tests/carrying/test_loss.py
@@ -324,3 +324,25 @@
     node.core.revision = 8
     scene.run(200)
     assert caller.resets == 1
+
+
+def test_probes_with_whole_packets_keep_to_the_budget_of_messages():
+    """As above, with uploads: each caller's packet fills a message by itself.
+
+    To send one to each upstream for each flow at once, 2,400 messages, would fill a small
+    balancer's link for a second and keep its other callers waiting.
+    """
+    scene = world.World(zones=("a",), upstreams=40, balancers=1)
+    callers = [scene.open(40_000 + n) for n in range(60)]
+    for node in scene.sidecars:
+        node.upstream.restart()
+        scene.restart_sidecar(node)
+    scene.restart_balancer(scene.balancers[0])
+    scene.sent.clear()
+    for caller in callers:
+        scene.ask(caller, b"x" * 1_150)
+    scene.run(500)
+    probes = messages_of(scene, messages.ProbeMany)
+    assert probes and len(probes) <= state.FANOUT_BURST + state.FANOUT_PER_S // 2
+    scene.run(5 * SECOND)
+    assert all(caller.resets == 1 for caller in callers)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -596,7 +596,7 @@
     Mutation(
         "probes share messages",
         CORE + "carrying/finding.py",
-        "if len(unknown) > search.FIRST_WAVE:",
+        "if len(unknown) > search.FIRST_WAVE or known.finding >= FINDING_SINGLY:",
         "if False:",
     ),
     Mutation(
