--- a/standins/installation.py
+++ b/standins/installation.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import http.client
 import json
@@ -43,16 +44,36 @@
     upstream: int
 
 
-def free_ports() -> Ports:
-    """Return ports that nobody uses just now, each of them once.
+class Reservation:
+    """Ports of one installation, kept from others until it is released.
 
-    The kernel may give a port that was freed a moment ago again; a daemon that got one port for two
-    purposes ended at its start.
+    A daemon that got one port for two purposes ended at its start, and two installations that had
+    drawn a port in common at the same moment failed in their set-up: `free_port` looks at one
+    address, which no machine has. So a socket is held there for each port.
     """
-    found: set[int] = set()
-    while len(found) < len(dataclasses.fields(Ports)):
-        found.add(system.free_port())
-    return Ports(*found)
+
+    def __init__(self) -> None:
+        self.guards: list[socket.socket] = []
+        self.ports = Ports(*(self.reserve() for _ in dataclasses.fields(Ports)))
+
+    def reserve(self) -> int:
+        """Return a port that is ours from now on."""
+        while True:
+            port = system.free_port()
+            with contextlib.suppress(OSError):
+                self.guards.append(udp(("127.0.0.1", port)))
+                return port
+
+    def release(self) -> None:
+        """Let others have the ports."""
+        for guard in self.guards:
+            guard.close()
+
+    def __enter__(self) -> "Reservation":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.release()
 
 
 @dataclasses.dataclass
@@ -78,7 +99,8 @@
 
     def __init__(self, directory: pathlib.Path, balancers: int = 2, upstreams: int = 3):
         self.directory = directory
-        self.ports = free_ports()
+        self.reservation = Reservation()
+        self.ports = self.reservation.ports
         self.store = store.Store()
         self.lock = threading.RLock()
         self.selector = selectors.DefaultSelector()
@@ -122,6 +144,7 @@
         self.caller_socket.close()
         for machine in self.sidecars:
             machine.upstream_socket.close()
+        self.reservation.release()
 
     def machine(self, role: str, number: int) -> Machine:
         """Return a machine with its settings written, and its upstream if it is a sidecar's."""
@@ -341,7 +364,11 @@
     """Return a bound UDP socket that never blocks."""
     made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     made.setblocking(False)
-    made.bind(address)
+    try:
+        made.bind(address)
+    except OSError:
+        made.close()
+        raise
     return made
 
 
