--- a/tests/carrying/matrix.py
+++ b/tests/carrying/matrix.py
@@ -22,7 +22,7 @@
 """Between a caller's answer and its next request."""
 
 SEARCH_MS = 1_000
-"""Longest time from the packet that an upstream is shown to the end of the search."""
+"""Longest time from a probe of an upstream to the end of the search."""
 
 MOVED_MS = 2_000
 MOVED_UPSTREAMS = 3
@@ -226,7 +226,7 @@
         self.moment("sidecar restarted", node)
 
     def restart_all(self) -> None:
-        """Restart every process: now upstreams must be shown packets for flows to be found."""
+        """Restart every process: now upstreams must be probed for flows to be found."""
         for node in self.everyone():
             self.restart_process(node)
 
@@ -358,7 +358,7 @@
             self.later(world.DELAY_MS, self.check_moved, flow)
 
     def check_moved(self, flow) -> None:
-        """Note a moved flow, if its own upstream was not shown the packet at the same time."""
+        """Note a moved flow, if its own upstream was not probed at the same time."""
         others = {name for _, name in self.strayed.get(flow, [])}
         if self.now - self.reached_at.get(flow, 0) >= MOVED_MS:
             self.found.append(f"a flow's packets went to {len(others)} others, not to its home")
@@ -387,7 +387,7 @@
         """Check that a caller who is told that its flow has ended is told the truth.
 
         A flow is open once its upstream has the end of the handshake. An upstream that takes no
-        packet while its sidecar is sure of nothing can't be told from one that has lost the flow. A
+        packet while its sidecar knows no flows can't be told from one that has lost the flow. A
         balancer that has started since the entry of an upstream went has never heard of it.
         """
         node, accepted = self.homes.get(caller.flow, (None, None))
--- a/tests/carrying/test_announcing.py
+++ b/tests/carrying/test_announcing.py
@@ -273,7 +273,7 @@
 def test_a_seed_that_can_t_name_all_sidecars_without_an_entry_confirms_nothing():
     """The store has lost all entries in an outage, and every process has just started.
 
-    The seed has heard more sidecars than one answer holds. If its word made the asker's view sure,
+    The seed has heard more sidecars than one answer holds. If its word confirmed the asker's view,
     callers of the upstreams that it left out would be told that their flows are gone.
     """
     scene = world.World(balancers=2)
--- a/tests/carrying/test_loss.py
+++ b/tests/carrying/test_loss.py
@@ -50,7 +50,7 @@
     assert not messages_of(scene, messages.Probe)
 
 
-def test_a_sidecar_restarted_beside_an_upstream_that_is_through_with_its_start_is_unsure():
+def test_a_sidecar_restarted_beside_a_warm_upstream_does_not_know_all_flows():
     """An upstream crashes and starts anew; flows open there; then its sidecar alone is restarted.
 
     The former entry stands a little longer than usual, as it does while the store is slow. The
@@ -71,7 +71,7 @@
     assert caller.resets == 0 and caller.answer.endswith(b"again")
 
 
-def test_a_sidecar_is_unsure_where_another_upstream_took_the_address_of_no_one():
+def test_a_warm_up_alone_does_not_tell_that_an_upstream_is_new():
     """Nothing but the warm-up of an upstream is known: its sidecar may have been restarted alone.
 
     An upgrade restarts sidecars in turn just as new upstreams are started; flows opened at one of
@@ -102,7 +102,7 @@
 
 
 def test_one_search_in_which_everybody_says_no_is_enough():
-    """A caller's flow is lost; all sidecars there are have answered and are sure.
+    """A caller's flow is lost; all sidecars there are have answered that they know all their flows.
 
     A second search would tell nothing new, and a caller with 150 ms for its request that waits
     for it is late.
@@ -120,7 +120,7 @@
 
     Nobody can be told yet that a flow is over, and to show every lost flow to all upstreams would
     hold up the flows that live: the caller's first packet goes to those that it was likely placed
-    on. Once the view is sure the others are shown it, and the caller is told.
+    on. Once the view is confirmed the others are probed, and the caller is told.
     """
     scene = world.World(zones=("a",), upstreams=60, balancers=1)
     caller = scene.open()
@@ -189,7 +189,7 @@
     """Upstreams leave, all machines lose power, and only the sidecars of those come back.
 
     Their entries lapse. They are asked about lost flows, as an upstream may live that the store
-    can't hear, and they are sure of nothing; the packets that they show bring no word. Once one is
+    can't hear, and they don't know; their probes bring no answer. Once one is
     unanswered the sidecar knows that nobody is there, and callers are told.
     """
     scene = world.World(zones=("a",), upstreams=20, balancers=1)
@@ -263,8 +263,8 @@
 def test_flows_shown_to_many_upstreams_share_their_messages():
     """All processes of a fleet are killed, and half of the upstreams were taken away just before.
 
-    Their sidecars came back without them and are sure of nothing; upstreams that took their places
-    return what they are shown. 100 callers send on flows of the half that is gone. A balancer's
+    Their sidecars came back without them and do not know; upstreams that took their places
+    return what they are probed with. 100 callers send on flows of the half that is gone. A balancer's
     budget of such messages does not hold one for each flow and upstream; each caller is told within
     its time all the same.
     """
--- a/tests/carrying/test_paths.py
+++ b/tests/carrying/test_paths.py
@@ -22,7 +22,7 @@
     """The fabric hands the next packet to another balancer, as when one joins its rotation.
 
     It does not know the flow, asks the sidecars, and the one at the flow's home answers; no other
-    upstream is shown a packet.
+    upstream is probed.
     """
     scene = world.World()
     caller = scene.open()
@@ -52,7 +52,7 @@
 def test_all_processes_restart_and_open_flows_go_on():
     """Every process is killed at once; upstreams and callers live on.
 
-    No sidecar is sure of anything, so each shows the packet to its upstream once. The home is
+    No sidecar knows its flows, so each probes its upstream once. The home is
     among them, and from then on only it gets the flow's packets.
     """
     scene = world.World()
@@ -434,7 +434,7 @@
 def test_after_a_kill_of_all_processes_flows_are_found_where_they_live():
     """All processes of a larger fleet are killed at once; 200 flows live on at their upstreams.
 
-    A flow was placed on one of the first of its rank, so these are shown its packet first. Asking
+    A flow was placed on one of the first of its rank, so these are probed first. Asking
     and probes everybody for each flow would take a balancer 20 s.
     """
     scene = world.World(zones=("a",), upstreams=40, balancers=1)
@@ -451,7 +451,7 @@
 def test_a_silent_upstream_does_not_keep_callers_waiting_for_flows_that_are_gone():
     """All processes and upstreams restart; one upstream stays down, its sidecar is incomplete.
 
-    Whether a flow lived there nobody can say any more. It is shown two packets and leaves both
+    Whether a flow lived there nobody can say any more. It is probed twice and leaves both
     unanswered, so the caller is told after the second copy and not at its own time limit.
     """
     scene = world.World(zones=("a",), upstreams=4, balancers=1)
@@ -559,7 +559,7 @@
 def test_packets_shown_after_the_loss_of_everything_do_not_travel_back():
     """Everything restarts, and a caller sends an upload's packet of 1,200 bytes on a lost flow.
 
-    All upstreams are shown the packet and return it. The balancer has kept it; were it sent back by
+    All upstreams are probed and return the packet. The balancer has kept it; were it sent back by
     each sidecar, the links between availability zones would carry it twice for every upstream.
     """
     scene = world.World(upstreams=6)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -26,7 +26,7 @@
     "tests/carrying/test_placing.py",
     "tests/carrying/test_fleet.py",
     "tests/carrying/test_announcing.py",
-    "tests/carrying/test_crowded.py",
+    "tests/carrying/test_overloaded.py",
 )
 """The tests that must notice, the quickest first: of the product's calls and of carried flows."""
 
