--- a/tests/carrying/test_loss.py
+++ b/tests/carrying/test_loss.py
@@ -263,8 +263,8 @@
 def test_flows_shown_to_many_upstreams_share_their_messages():
     """All processes of a fleet are killed, and half of the upstreams were taken away just before.
 
-    Their sidecars came back without them and do not know; upstreams that took their places
-    return what they are probed with. 100 callers send on flows of the half that is gone. A balancer's
+    Their sidecars came back without them and do not know; upstreams that took their places return
+    what they are probed with. 100 callers send on flows of the half that is gone. A balancer's
     budget of such messages does not hold one for each flow and upstream; each caller is told within
     its time all the same.
     """
