Probe all that don't know although instances that left are silent

Replaced upstreams are silent; while anybody was, only two upstreams were probed, and the home was not among them. The test failed before.

--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -228,7 +228,7 @@
         """Give up: a reset if the flow is surely over, else silence; the caller sends again."""
         self.end(found)
         last = found.packets[-1]
-        missing = [u for u in found.unanswered() if self.fleet.lives(u)]
+        missing = self.missing(found)
         not_found = not missing and not found.unknown()
         if found.opening:
             over = not_found and self.view_fresh
--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -101,7 +101,7 @@
     unknown = found.unknown()
     if not unknown or (found.goes_on and 2 * len(unknown) < len(found.answers)):
         return None
-    if not found.goes_on and not found.all_answered() and now < known.patience(found):
+    if not found.goes_on and known.missing(found) and now < known.patience(found):
         return None
     return probe(known, found, unknown, now)
 
@@ -124,7 +124,7 @@
         unknown = unknown[: search.FIRST_WAVE]
     elif not known.view_confirmed(now):
         unknown = unknown[: max(0, search.PROBED_EARLY - len(found.probed))]
-    if not found.all_answered():
+    if known.missing(found):
         unknown = unknown[: max(0, search.PROBED_BLIND - len(found.probed))]
     if not unknown:
         return None
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -157,6 +157,14 @@
             return found.give_up_at
         return min(found.give_up_at, found.asked_at + search.UNLISTED_MS)
 
+    def missing(self, found: search.Search) -> list[fleet.Upstream]:
+        """Return the upstreams with an entry whose sidecars have not answered.
+
+        A silent one without an entry is gone as a rule, and nothing waits for it that a flow needs
+        which lives elsewhere.
+        """
+        return [upstream for upstream in found.unanswered() if self.fleet.lives(upstream)]
+
     def end(self, found: search.Search) -> list[effects.Effect]:
         """End a search; the caller's next packet may begin another one."""
         del self.searches[found.flow]
--- a/tests/carrying/test_paths.py
+++ b/tests/carrying/test_paths.py
@@ -1,6 +1,6 @@
 """What callers get when processes of the system and upstreams come, go, fall silent or restart."""
 
-from ebonystile.core.carrying import fleet, messages, routes
+from ebonystile.core.carrying import fleet, messages, packet, placing, routes, search
 from tests.carrying import world
 
 SECOND = 1_000
@@ -575,3 +575,34 @@
     assert sum(isinstance(message, messages.Probe) for message in sent) == len(scene.sidecars)
     assert not any(isinstance(message, messages.Return) for message in sent)
     assert caller.resets == 1
+
+
+def test_a_restarted_home_is_probed_although_instances_that_left_are_silent():
+    """Sidecars are restarted in turn while upstreams are replaced; those replaced are gone.
+
+    A flow's next packet comes to a balancer new to it, which asks those that left as well, as the
+    store may not hear one that lives. Their silence must not keep it from probing all that don't
+    know: the flow's own upstream is among them, and only others got its packets for seconds.
+    """
+    scene = world.World(zones=("a",), upstreams=30, balancers=2)
+    flow = packet.end_of("100.64.0.7", 40_001) + packet.end_of(*world.ROUTE)
+    known = scene.balancers[0].core.fleet.of("s")
+    first = [u.address for u in placing.order(flow, known, "a")[: search.FIRST_WAVE]]
+    for address in first:
+        scene.entry(scene.nodes[address], leaving=True)
+    scene.known()
+    caller = scene.open(through=scene.balancers[0])
+    home = scene.home_of(caller)
+    for address in first:
+        scene.entry(scene.nodes[address], leaving=False)
+    others = [n for n in scene.sidecars if n is not home and n.address not in first]
+    for node in others[:3]:
+        node.alive = False
+        del scene.entry_of[node.address]
+    scene.known()
+    for node in (*others[3:10], home):
+        scene.restart_sidecar(node)
+    caller.through = scene.balancers[1]
+    scene.ask(caller, b"again")
+    scene.run(120)
+    assert caller.answer.endswith(b"again") and caller.resets == 0
