--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -147,6 +147,7 @@
         """Act on a sidecar's message; `received` is the packet in it."""
         self.unheard_since = None
         self.silence.pop(source, None)
+        self.silent_since.pop(source, None)
         todo = act(message, self, received, source, now)
         if self.queued:
             todo.extend(self.begin_queued(now))
@@ -183,6 +184,7 @@
         """Forget what is over, and ask somebody while nobody answers, to notice the end of that."""
         self.fleet.expire(now)
         self.silence = {a: until for a, until in self.silence.items() if until > now}
+        self.silent_since = {a: at for a, at in self.silent_since.items() if a in self.silence}
         if now >= self.sweep_at:
             self.sweep(now)
         known = list(self.fleet.by_address)
@@ -223,6 +225,7 @@
         """Leave out, for a while, sidecars that did not answer in time."""
         for upstream in found.unanswered():
             self.silence[upstream.address] = now + search.SILENCE_MS
+            self.silent_since.setdefault(upstream.address, now)
 
     def end_of_search(self, found: search.Search, now: int) -> list[effects.Effect]:
         """Give up: a reset if the flow is surely over, else silence; the caller sends again."""
--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -41,6 +41,10 @@
 long as it has read further than this process, nobody is told.
 """
 
+GONE_AFTER_MS = 200
+"""Silence after which a sidecar without an entry is not asked any more, in ms, until it is heard or
+has had a rest: two questions, as one that only stands still answers the second."""
+
 MOST_LOOKS = 4
 """Searches for a flow in a row while nobody listed is silent. By the next one this process has read
 the store as far as others, and silent sidecars without an entry are left out; left to its caller's
@@ -57,20 +61,22 @@
     if first:
         begun.waves = [first]
     others = [u for u in known.fleet.by_address.values() if u.service not in names]
-    others += without_entry(known)
+    others += without_entry(known, now)
     if others or len(likely) > len(first):
         begun.later = functools.partial(search.later_waves, likely[len(first) :], others)
     return begun
 
 
-def without_entry(known: state.State) -> list[fleet.Upstream]:
+def without_entry(known: state.State, now: int) -> list[fleet.Upstream]:
     """Return the upstreams without an entry whose sidecars may answer.
 
     One that the store can't hear serves its flows all the same, and a balancer that has not had
     such a flow before would tell its caller that it is over. Most are gone, though, and don't
-    answer: they are asked again after a while only, or each caller of a lost flow would wait.
+    answer: those are left out for a while, or each caller of a lost flow would wait for them.
     """
-    return [u for u in known.fleet.perhaps_alive() if u.address not in known.silence]
+    since = known.silent_since
+    alive = known.fleet.perhaps_alive()
+    return [u for u in alive if now - since.get(u.address, now) < GONE_AFTER_MS]
 
 
 def queue(known: state.State, received: packet.Packet, now: int) -> None:
@@ -264,7 +270,7 @@
     again = search_for(known, packets[0], now)
     again.packets = packets
     again.waves = []
-    everybody = [*known.fleet.by_address.values(), *without_entry(known)]
+    everybody = [*known.fleet.by_address.values(), *without_entry(known, now)]
     again.later = functools.partial(search.later_waves, everybody, ())
     again.looks = looks
     known.searches[again.flow] = again
--- a/src/ebonystile/core/carrying/state.py
+++ b/src/ebonystile/core/carrying/state.py
@@ -70,6 +70,7 @@
         self.homes: dict[packet.Flow, Home] = {}
         self.searches: dict[packet.Flow, search.Search] = {}
         self.silence: dict[view.Address, int] = {}
+        self.silent_since: dict[view.Address, int] = {}
         self.view_fresh = False
         self.view_since = now
         self.revision = 0
--- a/tests/carrying/test_loss.py
+++ b/tests/carrying/test_loss.py
@@ -346,3 +346,61 @@
     assert probes and len(probes) <= state.FANOUT_BURST + state.FANOUT_PER_S // 2
     scene.run(5 * SECOND)
     assert all(caller.resets == 1 for caller in callers)
+
+
+def test_a_sidecar_without_an_entry_that_stands_still_is_asked_twice():
+    """The store can't hear an upstream, and its sidecar's share of a core is used up for a moment.
+
+    The fabric moves its flow to a balancer that has never seen it. The first question gets no
+    answer in time, the second one does; were one enough, the caller of a living flow were reset.
+    """
+    scene = world.World(upstreams=6)
+    caller = scene.open()
+    home = scene.home_of(caller)
+    del scene.entry_of[home.address]
+    scene.known()
+    caller.through = scene.balancers[1]
+    home.frozen_until = scene.now + 180
+    scene.ask(caller, b"again")
+    scene.run(SECOND)
+    assert caller.resets == 0 and caller.answer.endswith(b"again")
+
+
+def test_few_flows_looked_for_at_once_share_their_questions_too():
+    """A dozen flows of a large fleet are lost; a balancer asks the likely sidecars for each.
+
+    Whoever must be asked beyond those is asked about all of them together. One by one they would
+    take 1,500 messages.
+    """
+    scene = world.World(zones=("a",), upstreams=136, balancers=1)
+    callers = [scene.open(40_000 + n) for n in range(12)]
+    lose_everything(scene)
+    for caller in callers:
+        scene.ask(caller, b"again")
+    scene.run(150)
+    assert all(caller.resets == 1 for caller in callers)
+    assert len(messages_of(scene, messages.Ask)) <= 12 * search.FIRST_WAVE
+
+
+def test_a_flow_that_was_found_again_is_asked_for_twice_once_more():
+    """A flow was missing for a moment long ago, and was found. Then its sidecar stands still.
+
+    The store does not hear its upstream, so nothing but two questions tells that it lives. Were the
+    flow still noted as missing, one unanswered question would end it.
+    """
+    scene = world.World(upstreams=6)
+    caller = scene.open()
+    home = scene.home_of(caller)
+    core = scene.balancers[1].core
+    core.missing_since[caller.flow] = scene.now - SECOND
+    caller.through = scene.balancers[1]
+    scene.ask(caller, b"again")
+    scene.run(100)
+    assert caller.answer.endswith(b"again")
+    del core.homes[caller.flow]
+    del scene.entry_of[home.address]
+    scene.known()
+    home.frozen_until = scene.now + 180
+    scene.ask(caller, b"third")
+    scene.run(SECOND)
+    assert caller.resets == 0 and caller.answer.endswith(b"third")
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -554,7 +554,7 @@
     Mutation(
         "upstreams without an entry asked before a reset",
         CORE + "carrying/finding.py",
-        "return [u for u in known.fleet.perhaps_alive() if u.address not in known.silence]",
+        "return [u for u in alive if now - since.get(u.address, now) < GONE_AFTER_MS]",
         "return []",
     ),
     Mutation(
@@ -610,7 +610,7 @@
     Mutation(
         "silent ones are not waited for by each caller",
         CORE + "carrying/finding.py",
-        " if u.address not in known.silence]",
+        " if now - since.get(u.address, now) < GONE_AFTER_MS]",
         "]",
     ),
     Mutation(
