--- a/tests/carrying/test_announcing.py
+++ b/tests/carrying/test_announcing.py
@@ -36,6 +36,14 @@
         scene.restart_balancer(node)
 
 
+def restart_without_entry(scene, node, *, upstreams):
+    """Start everything anew after an upstream has lost its entry, which nobody remembers."""
+    del scene.entry_of[node.address]
+    restart_everything(scene, upstreams=upstreams)
+    for other in scene.everyone():
+        other.core.fleet.departed.clear()
+
+
 def test_callers_learn_of_flows_lost_with_everything_within_half_a_second():
     """All machines lose power and are back; a caller's packet finds its flow nowhere.
 
@@ -83,10 +91,7 @@
     scene = world.World(balancers=3, upstreams=6)
     caller = scene.open()
     home = scene.home_of(caller)
-    del scene.entry_of[home.address]
-    restart_everything(scene, upstreams=False)
-    for node in scene.everyone():
-        node.core.fleet.departed.clear()
+    restart_without_entry(scene, home, upstreams=False)
     view_begins(scene, scene.balancers)
     scene.ask(caller, b"again")
     scene.run(2 * SECOND)
@@ -185,10 +190,7 @@
     scene = world.World(balancers=3)
     caller = scene.open()
     home = scene.home_of(caller)
-    del scene.entry_of[home.address]
-    restart_everything(scene, upstreams=False)
-    for node in scene.everyone():
-        node.core.fleet.departed.clear()
+    restart_without_entry(scene, home, upstreams=False)
     seed_with(scene, scene.balancers[1])
     view_begins(scene, scene.balancers)
     scene.ask(caller, b"again")
@@ -221,10 +223,7 @@
     scene = world.World(balancers=3, upstreams=5)
     caller = scene.open()
     gone = next(n for n in scene.sidecars if n is not scene.home_of(caller))
-    del scene.entry_of[gone.address]
-    restart_everything(scene, upstreams=True)
-    for node in scene.everyone():
-        node.core.fleet.departed.clear()
+    restart_without_entry(scene, gone, upstreams=True)
     seed_with(scene, scene.balancers[1])
     scene.run(world.TICK_MS + 5)
     gone.alive = False
