Drained zones: no new flow goes to a zone that operators empty

Cause: operators drain an availability zone by a key of their own in the store.

Change: what operators wrote is read in one list in place of one item, so a start has the drained zones before it knows an upstream, at no further call. Balancers leave the zone's upstreams out, and sidecars refuse new flows there, as a balancer may be cut off from the store; open flows go on, and probes of lost flows go there as before: a probe is a packet of a flow that may live there, never an opening packet. With all zones drained callers are told at once.

Found on the way: a list of a relay that has read less than oneself dropped an upstream that had just come, and the watch from there on brought an item that was known already, so it got no flow until its entry changed. An older list now takes nothing back; test with it.

Ruled out: a watch or a list of its own for drained zones (a priced call more for each start); a time limit on a drain (it would flicker while the store is away).

The tests fail on the code before; four mutants.

--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -1,4 +1,4 @@
-"""Bring what the platform's store says to the core: the routes in force and the upstreams."""
+"""Bring what the store says to the core: routes in force, drained zones and upstreams."""
 
 import collections
 import random
@@ -45,6 +45,7 @@
         self.fleet = fleet.Fleet()
         self.revisions: dict[str, int] = {}
         self.seen: set[str] = set()
+        self.list_revision = 0
         self.counts: collections.Counter[str] = collections.Counter()
         self.wanted_version = 0
 
@@ -60,8 +61,6 @@
             return
         self.use(source)
         self.call = call
-        if call.kind is reading.Kind.ENTRIES and not call.after:
-            self.seen = set()
         client = self.clients[source]
         path = store.path_of(call, now)
         client.get(path, call.deadline, self.on_answer, self.on_failure, begin_by=call.begin_by)
@@ -183,23 +182,44 @@
             self.sources.refresh(self.fleet)
             self.relay.advance(result.revision)
             return
-        if call.kind is reading.Kind.ENTRIES:
-            self.seen.update(item.key for item in result.items)
+        if not call.after:
+            self.seen = set()
+            self.list_revision = result.revision
+        self.seen.update(item.key for item in result.items)
         self.reader.listed(result.revision, result.next_after, now, current=result.current)
-        if call.kind is reading.Kind.ENTRIES and not result.next_after:
-            self.drop_unlisted(now)
-            self.sources.refresh(self.fleet)
-            self.relay.restart(self.reader.revision)
-            self.relay.advance(self.reader.revision)
+        if result.next_after:
+            return
+        if call.kind is reading.Kind.CONFIGURATION:
+            self.take_back_unlisted()
+            return
+        self.drop_unlisted(now)
+        self.sources.refresh(self.fleet)
+        self.relay.restart(self.reader.revision)
+        self.relay.advance(self.reader.revision)
+
+    def unlisted(self, key: str) -> bool:
+        """Tell whether the whole list that was just read shows a key to be gone.
+
+        A relay's list may be older than what this process has read before. Taken at its word, it
+        would drop an upstream that has just come, or end the draining of a zone.
+        """
+        if key in self.seen or self.revisions.get(key, 0) > self.list_revision:
+            return False
+        self.relay.items.pop(key, None)
+        return True
 
     def drop_unlisted(self, now: int) -> None:
         """Drop the upstreams that a whole list does not show."""
         for name in list(self.fleet.upstreams):
-            key = entries.ENTRIES_PREFIX + name
-            if key not in self.seen:
-                self.relay.items.pop(key, None)
+            if self.unlisted(entries.ENTRIES_PREFIX + name):
                 self.remove(name, "unlisted", now)
 
+    def take_back_unlisted(self) -> None:
+        """Take back the drained zones that a whole list does not show."""
+        for zone in sorted(self.fleet.drained):
+            if self.unlisted(entries.DRAINED_PREFIX + zone):
+                self.take_back(zone, self.list_revision)
+
     def take_item(self, item: entries.Item, now: int) -> None:
         """Take in one item, unless a later one of its key is known."""
         if item.revision <= self.revisions.get(item.key, 0):
@@ -208,6 +228,8 @@
         self.relay.take(item)
         if item.key == entries.CONFIGURATION_KEY:
             self.take_configuration(item)
+        elif item.key.startswith(entries.DRAINED_PREFIX):
+            self.take_drained(item)
         elif item.key.startswith(entries.ENTRIES_PREFIX):
             self.take_entry(item, now)
 
@@ -229,6 +251,27 @@
                 revision=item.revision,
             )
 
+    def take_drained(self, item: entries.Item) -> None:
+        """Take in that operators drain a zone, or have ended that; the key alone says it."""
+        try:
+            zone = entries.drained_zone_of(item.key)
+        except errors.PlatformError as error:
+            self.counts["malformed"] += 1
+            self.log.event("drain_malformed", revision=item.revision, reason=str(error))
+            return
+        if item.tombstone:
+            self.take_back(zone, item.revision)
+        elif zone not in self.fleet.drained:
+            self.fleet.drained.add(zone)
+            members = sum(u.zone == zone for u in self.fleet.by_address.values())
+            self.log.event("zone_drained", zone=zone, upstreams=members, revision=item.revision)
+
+    def take_back(self, zone: str, revision: int) -> None:
+        """Let a zone that was drained get new flows again."""
+        if zone in self.fleet.drained:
+            self.fleet.drained.remove(zone)
+            self.log.event("zone_taken_back", zone=zone, revision=revision)
+
     def take_entry(self, item: entries.Item, now: int) -> None:
         """Take in an upstream's entry, or that it is gone; a malformed one names no upstream."""
         name = item.key.removeprefix(entries.ENTRIES_PREFIX)
--- a/src/ebonystile/carrier/relay.py
+++ b/src/ebonystile/carrier/relay.py
@@ -97,8 +97,6 @@
             revision = number(fields.get("after"))
             self.answer_or_wait(Waiting(connection, revision, deadline), self.answer_to(revision))
             self.owner.at(deadline, lambda: self.expire(clock.now()))
-        elif path == store.KEY_PATH:
-            connection.answer(self.single(fields.get("key", "")))
         elif path == store.RANGE_PATH:
             connection.answer(self.page(fields.get("prefix", ""), fields.get("after", "")))
         else:
@@ -126,14 +124,6 @@
         changed = [item for item in self.history if item.revision > revision]
         return json_page(entries.News(changed, max(revision, self.revision)))
 
-    def single(self, key: str) -> pages.Page:
-        """Return one item."""
-        item = self.items.get(key)
-        if item is None:
-            return pages.Page(404)
-        made = entries.Single(key, item.value, item.revision, self.revision, self.is_direct())
-        return json_page(made)
-
     def page(self, prefix: str, after: str) -> pages.Page:
         """Return a page of the items whose keys begin so."""
         if not self.revision:
--- a/src/ebonystile/carrier/sidecar.py
+++ b/src/ebonystile/carrier/sidecar.py
@@ -26,6 +26,7 @@
             settings.service,
             clock.now(),
             self.feed.sources.seeds,
+            zone=settings.zone,
         )
         self.core.current = self.feed.current
         self.core.fleet = self.feed.fleet
--- a/src/ebonystile/core/carrying/fleet.py
+++ b/src/ebonystile/core/carrying/fleet.py
@@ -101,9 +101,10 @@
 
 
 class Fleet:
-    """The upstreams known, by name."""
+    """The upstreams known, by name, and the availability zones that operators drain."""
 
     def __init__(self) -> None:
+        self.drained: set[str] = set()
         self.upstreams: dict[str, Upstream] = {}
         self.fading: dict[str, int] = {}
         self.departed: dict[view.Address, tuple[Upstream, int]] = {}
@@ -161,6 +162,11 @@
         """Return the upstreams of a service."""
         return self.index.by_service.get(service, ())
 
+    def willing(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that may get new flows."""
+        drained = self.drained
+        return [u for u in self.of(service) if not u.leaving and u.zone not in drained]
+
     def perhaps_alive(self) -> list[Upstream]:
         """Return the upstreams without an entry whose address nobody else has taken."""
         return [gone for a, (gone, _) in self.departed.items() if a not in self.by_address]
--- a/src/ebonystile/core/carrying/messages.py
+++ b/src/ebonystile/core/carrying/messages.py
@@ -134,6 +134,7 @@
     LEAVING = 2
     OTHER_SERVICE = 3
     NO_ROUTE = 4
+    DRAINED = 5
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -26,7 +26,7 @@
     known: state.State, received: packet.Packet, service: str, now: int
 ) -> search.Search:
     """Return the search for an upstream that takes a new flow."""
-    willing = [u for u in known.fleet.of(service) if not u.leaving]
+    willing = known.fleet.willing(service)
     heard = [u for u in willing if u.address not in known.silence]
     near, far = placing.split(heard or willing, known.zone)
     flow = received.flow
--- a/src/ebonystile/core/carrying/reading.py
+++ b/src/ebonystile/core/carrying/reading.py
@@ -45,7 +45,7 @@
 
 
 class Kind(enum.Enum):
-    """What a call asks for."""
+    """What a call asks for; the configuration comes with the zones that operators drain."""
 
     CONFIGURATION = "configuration"
     ENTRIES = "entries"
--- a/src/ebonystile/core/carrying/sidecar.py
+++ b/src/ebonystile/core/carrying/sidecar.py
@@ -49,8 +49,11 @@
         service: str,
         now: int,
         seeds: tuple[view.Address, ...] = (),
+        *,
+        zone: str = "",
     ):
         self.address = address
+        self.zone = zone
         self.announcer = announcing.Announcer(seeds)
         self.service = service
         self.service_key = view.key_of(service)
@@ -180,6 +183,9 @@
             return messages.Reason.LEAVING
         if own is not None and own.service != self.service:
             return messages.Reason.OTHER_SERVICE
+        # A balancer that is cut off from the store may not know yet that the zone is drained.
+        if self.zone in self.fleet.drained:
+            return messages.Reason.DRAINED
         return None
 
     def holding(self, flow: packet.Flow, acknowledged: int, now: int) -> messages.Holding:
--- a/src/ebonystile/platform/entries.py
+++ b/src/ebonystile/platform/entries.py
@@ -1,4 +1,4 @@
-"""Translate what lies in the platform's store: the configuration and the upstreams' entries.
+"""Translate what lies in the store: the configuration, drained zones and upstreams' entries.
 
 Anybody may have written there. What does not have the form described names no upstream, and is
 told apart from an entry that is gone by a reason.
@@ -12,7 +12,9 @@
 from ebonystile.core import view
 from ebonystile.core.carrying import fleet, routes
 
+OPERATORS_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+DRAINED_PREFIX = "op/evacuate/"
 ENTRIES_PREFIX = "servers/"
 EVERYTHING = ""
 
@@ -44,16 +46,6 @@
     current: bool = True
 
 
-class Single(msgspec.Struct):
-    """One item read by its key, with the store's revision; `current` as in `Page`."""
-
-    key: str
-    value: bytes
-    revision: int
-    store_revision: int
-    current: bool = True
-
-
 class News(msgspec.Struct):
     """What a watch brought; the next one goes on from `store_revision`."""
 
@@ -110,7 +102,6 @@
 
 
 PAGES = msgspec.json.Decoder(Page)
-SINGLES = msgspec.json.Decoder(Single)
 NEWS = msgspec.json.Decoder(News)
 ENTRIES = msgspec.json.Decoder(EntryBody)
 CONFIGURATIONS = msgspec.json.Decoder(ConfigurationBody)
@@ -176,6 +167,14 @@
     return host, int(port), routes.Route(body.name, shares)
 
 
+def drained_zone_of(key: str) -> str:
+    """Return the zone that an operator drains by a key; raise `PlatformError` if it names none."""
+    zone = key.removeprefix(DRAINED_PREFIX)
+    if not zone:
+        raise errors.PlatformError(f'"{key}" names no zone', step=STEP, peer="platform")
+    return zone
+
+
 def address_of(text: str) -> view.Address:
     """Return the address and port in `ip:port`."""
     host = host_of(text)
--- a/src/ebonystile/platform/store.py
+++ b/src/ebonystile/platform/store.py
@@ -6,8 +6,15 @@
 from ebonystile.core.carrying import reading
 from ebonystile.platform import entries
 
-KEY_PATH, RANGE_PATH, WATCH_PATH = "/-/kv-key", "/-/kv-range", "/-/kv-watch"
-"""The calls that read one item, items by the beginning of their keys, and what has changed."""
+RANGE_PATH, WATCH_PATH = "/-/kv-range", "/-/kv-watch"
+"""The calls that read items by the beginning of their keys, and what has changed."""
+
+PREFIXES = {
+    reading.Kind.CONFIGURATION: entries.OPERATORS_PREFIX,
+    reading.Kind.ENTRIES: entries.ENTRIES_PREFIX,
+}
+"""How the keys of each list begin. What operators wrote comes in one call: a process that has the
+routes knows which zones are drained before it knows any upstream."""
 
 OLD_WILL_DO = "&stale_ok=1"
 """What a query says where a state of some seconds ago will do; the call is priced a tenth."""
@@ -47,11 +54,9 @@
 def path_of(call: reading.Call, now: int) -> str:
     """Return path and query of a call made `now` (ms)."""
     old = OLD_WILL_DO if call.may_be_old else ""
-    if call.kind is reading.Kind.CONFIGURATION:
-        return f"{KEY_PATH}?key={entries.CONFIGURATION_KEY}{old}"
-    if call.kind is reading.Kind.ENTRIES:
+    if call.kind is not reading.Kind.WATCH:
         after = f"&after={quoted(call.after)}" if call.after else ""
-        return f"{RANGE_PATH}?prefix={entries.ENTRIES_PREFIX}{after}{old}"
+        return f"{RANGE_PATH}?prefix={PREFIXES[call.kind]}{after}{old}"
     wait = max(0, call.wait_until - now)
     prefix = entries.EVERYTHING
     return f"{WATCH_PATH}?prefix={prefix}&after={call.revision}&wait_ms={wait}"
@@ -74,11 +79,7 @@
     if status != OK:
         reason = f"status {status}"
         raise errors.PlatformError(reason, step=f"read {call.kind.value}", peer="platform")
-    if call.kind is reading.Kind.CONFIGURATION:
-        single = entries.decode(entries.SINGLES, body)
-        item = entries.Item(single.key, single.value, single.revision)
-        return Listed((item,), single.store_revision, "", single.current)
-    if call.kind is reading.Kind.ENTRIES:
+    if call.kind is not reading.Kind.WATCH:
         page = entries.decode(entries.PAGES, body)
         more = page.items[-1].key if page.has_more and page.items else ""
         return Listed(tuple(page.items), page.store_revision, more, page.current)
--- a/standins/store.py
+++ b/standins/store.py
@@ -110,8 +110,6 @@
             state = self.items, self.revision
             if self.old is not None and query.parameters.get("stale_ok") == "1":
                 state = self.old
-            if query.path == "-/kv-key":
-                return single(*state, query.parameters["key"])
             if query.path == "-/kv-range":
                 prefix, after = query.parameters.get("prefix", ""), query.parameters.get("after")
                 return page(*state, prefix, after)
@@ -141,14 +139,6 @@
         return web.json_answer({"events": events, "store_revision": self.revision})
 
 
-def single(items: dict[str, Item], revision: int, key: str) -> web.Answer:
-    """Return one item of a state."""
-    item = items.get(key)
-    if item is None:
-        return web.Answer(404)
-    return web.json_answer({**item.document(), "store_revision": revision})
-
-
 def page(items: dict[str, Item], revision: int, prefix: str, after: str | None) -> web.Answer:
     """Return a page of a state's list."""
     keys = sorted(k for k in items if k.startswith(prefix) and k > (after or ""))
--- a/tests/carrying/world.py
+++ b/tests/carrying/world.py
@@ -56,6 +56,7 @@
         self.callers = {}
         self.entry_of = {}
         self.lapsing = []
+        self.drained = set()
         self.upstream_number = itertools.count(1)
         for place in range(balancers):
             self.add_balancer(zones[place % len(zones)])
@@ -78,7 +79,7 @@
         """Start an upstream with its sidecar, both long ago."""
         number = next(self.upstream_number)
         address = (f"10.0.1.{number}", 7720)
-        core = sidecar.Sidecar(address, service, self.now - 3 * routes.DEFAULT_IDLE)
+        core = sidecar.Sidecar(address, service, self.now - 3 * routes.DEFAULT_IDLE, zone=zone)
         upstream = ends.Upstream(f"u{number}", 1_000_000 * number)
         node = Node(core, address, zone, upstream)
         self.nodes[address] = node
@@ -105,6 +106,7 @@
         """Let the nodes know every upstream's entry as it is now."""
         listed = [*self.lapsing, *self.entry_of.values()]
         for node in self.everyone() if nodes is None else nodes:
+            node.core.fleet.drained = set(self.drained)
             for made in listed:
                 node.core.fleet.put(made)
             for name in set(node.core.fleet.upstreams) - {u.name for u in listed}:
@@ -130,7 +132,7 @@
     def restart_sidecar(self, node):
         """Let a sidecar start anew: its upstream's flows live on, its own table is empty."""
         before = node.core
-        node.core = sidecar.Sidecar(node.address, before.service, self.now)
+        node.core = sidecar.Sidecar(node.address, before.service, self.now, zone=node.zone)
         node.core.current = before.current
         node.alive = True
         self.known([node])
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -27,6 +27,8 @@
     "tests/carrying/test_fleet.py",
     "tests/carrying/test_announcing.py",
     "tests/carrying/test_overloaded.py",
+    "tests/carrying/test_drained.py",
+    "tests/carrier/test_feed.py",
 )
 """The tests that must notice, the quickest first: of the product's calls and of carried flows."""
 
@@ -43,7 +45,8 @@
     @property
     def group(self) -> str:
         """Return whether the safeguard is of carried flows or of the product's calls."""
-        return "carrying" if "/carrying/" in self.path else "calls"
+        carried = "/carrying/" in self.path or "/carrier/" in self.path
+        return "carrying" if carried else "calls"
 
     @property
     def tests(self) -> tuple[str, ...]:
@@ -637,5 +640,29 @@
         "return max(WATCHERS, math.ceil(sidecars / SIDECARS_EACH))",
         "return WATCHERS",
     ),
+    Mutation(
+        "balancers ask nobody in a drained zone",
+        CORE + "carrying/fleet.py",
+        "if not u.leaving and u.zone not in drained]",
+        "if not u.leaving]",
+    ),
+    Mutation(
+        "a sidecar in a drained zone refuses new flows",
+        CORE + "carrying/sidecar.py",
+        "if self.zone in self.fleet.drained:",
+        "if False:",
+    ),
+    Mutation(
+        "an older list takes nothing back",
+        "src/ebonystile/carrier/feed.py",
+        "if key in self.seen or self.revisions.get(key, 0) > self.list_revision:",
+        "if key in self.seen:",
+    ),
+    Mutation(
+        "the end of a drain is seen in the next list",
+        "src/ebonystile/carrier/feed.py",
+        "            self.take_back_unlisted()\n",
+        "",
+    ),
 )
 """Every safeguard that has a proof; docs/PROMISES.md tells which promise each serves."""
