Cold upstreams get what they bear, and flows stay in their routes' regions

Cause: a service may say how many flows a second its cold upstreams bear, and a route which regions may serve it. Neither was read.

Change: the sidecar counts opening packets over a sliding second and turns away what its cold upstream does not bear; it tells so in its answers, so balancers choose others, hold the flow for a moment or, where all are full, tell the caller at once. Cold is what the entry says, and before that: no entry, a flow that the upstream held and holds no more, or silence on opening packets followed by an answer. Balancers and sidecars keep new flows in a route's regions; probes carry a caller's data and stay there as well; with no upstream there the caller is told at once.

--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -43,6 +43,7 @@
         self.call: reading.Call | None = None
         self.current = routes.Current()
         self.fleet = fleet.Fleet()
+        self.fleet.regions = settings.regions
         self.revisions: dict[str, int] = {}
         self.seen: set[str] = set()
         self.list_revision = 0
--- a/src/ebonystile/core/carrying/fleet.py
+++ b/src/ebonystile/core/carrying/fleet.py
@@ -101,10 +101,14 @@
 
 
 class Fleet:
-    """The upstreams known, by name, and the availability zones that operators drain."""
+    """The upstreams known, by name, and the availability zones that operators drain.
+
+    `regions` gives the region of each zone.
+    """
 
     def __init__(self) -> None:
         self.drained: set[str] = set()
+        self.regions: dict[str, str] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.fading: dict[str, int] = {}
         self.departed: dict[view.Address, tuple[Upstream, int]] = {}
@@ -162,10 +166,15 @@
         """Return the upstreams of a service."""
         return self.index.by_service.get(service, ())
 
-    def willing(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that may get new flows."""
+    def willing(self, service: str, regions: typing.Sequence[str] = ()) -> list[Upstream]:
+        """Return the upstreams of a service that may get new flows of a route kept to `regions`."""
         drained = self.drained
-        return [u for u in self.of(service) if not u.leaving and u.zone not in drained]
+        willing = [u for u in self.of(service) if not u.leaving and u.zone not in drained]
+        return [u for u in willing if self.within(u.zone, regions)] if regions else willing
+
+    def within(self, zone: str, regions: typing.Sequence[str]) -> bool:
+        """Tell whether a zone lies in one of the regions that a route is kept to, if it is."""
+        return not regions or self.regions.get(zone) in regions
 
     def perhaps_alive(self) -> list[Upstream]:
         """Return the upstreams without an entry whose address nobody else has taken."""
--- a/src/ebonystile/core/carrying/messages.py
+++ b/src/ebonystile/core/carrying/messages.py
@@ -29,7 +29,8 @@
     `latency` is the recent time from a request to its answer in ms, 0 if there was none, `good` the
     share of requests that were answered at all. `silent` says that the upstream has left opening
     packets unanswered, `accepting` that new flows may come, `saturated` that a request runs on each
-    slot; `running` counts those as well that are about to come on flows just opened.
+    slot; `running` counts those as well that are about to come on flows just opened. `full` says
+    that the upstream is cold and has had as many new flows of late as it bears.
     """
 
     running: int = 0
@@ -40,6 +41,7 @@
     accepting: bool = True
     silent: bool = False
     saturated: bool = False
+    full: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,6 +137,8 @@
     OTHER_SERVICE = 3
     NO_ROUTE = 4
     DRAINED = 5
+    COLD = 6
+    OTHER_REGION = 7
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -26,7 +26,8 @@
     known: state.State, received: packet.Packet, service: str, now: int
 ) -> search.Search:
     """Return the search for an upstream that takes a new flow."""
-    willing = known.fleet.willing(service)
+    route = known.current.routes.find(received.flow)
+    willing = known.fleet.willing(service, route.regions if route else ())
     heard = [u for u in willing if u.address not in known.silence]
     near, far = placing.split(heard or willing, known.zone)
     flow = received.flow
@@ -58,6 +59,8 @@
         return None
     if chosen.overloaded and now < found.started_at + HOLD_MS:
         return hold(known, found, chosen, now)
+    if chosen.load.full:
+        return turn_away(known, found, chosen, now)
     return place(known, found, chosen.upstream, now, chosen)
 
 
@@ -104,6 +107,27 @@
     return [effects.trace("held", flow=packet.flow_text(found.flow), **inputs_of(chosen))]
 
 
+def turn_away(
+    known: state.State, found: search.Search, chosen: placing.Standing, now: int
+) -> list[effects.Effect]:
+    """Tell the caller that no upstream may take its flow, all being cold and at their bounds."""
+    known.end(found)
+    last = found.packets[-1]
+    return [
+        effects.trace(
+            "not_placed",
+            flow=packet.flow_text(found.flow),
+            asked=len(found.asked),
+            answered=len(found.answers),
+            reset=True,
+            searched_ms=now - found.started_at,
+            reason="cold",
+            **inputs_of(chosen),
+        ),
+        effects.Reset(found.flow, last.acknowledged),
+    ]
+
+
 def place(
     known: state.State,
     found: search.Search,
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -64,11 +64,16 @@
     cost: float
     sound: bool
 
+    @property
+    def out(self) -> tuple[bool, bool]:
+        """Return whether it is silent, and whether it may get no more flows just now."""
+        return (self.load.silent, self.load.full)
+
     @property
     def calm(self) -> bool:
         """Tell whether at most one request waits there and nothing speaks against it."""
         load = self.load
-        return not load.silent and load.running <= load.slots and self.sound
+        return not any(self.out) and load.running <= load.slots and self.sound
 
     @property
     def overloaded(self) -> bool:
@@ -77,6 +82,8 @@
         Flows that were just opened alone don't make a crowd: not all bring a request at once.
         """
         load = self.load
+        if load.full:
+            return True
         return load.saturated and load.running >= OVERLOADED * max(1, load.slots)
 
 
@@ -135,15 +142,14 @@
 
 
 def best(standings: typing.Sequence[Standing]) -> Standing | None:
-    """Return the least costly upstream, one that answers if there is any; of equals the first."""
+    """Return the least costly upstream, one that answers and has room if any does.
+
+    Of equals it is the first.
+    """
     if not standings:
         return None
-    least = min(standings, key=lambda s: (s.load.silent, s.cost))
-    equals = [
-        s
-        for s in standings
-        if s.load.silent == least.load.silent and s.cost <= least.cost + EQUAL_WORK
-    ]
+    least = min(standings, key=lambda s: (s.out, s.cost))
+    equals = [s for s in standings if s.out == least.out and s.cost <= least.cost + EQUAL_WORK]
     return equals[0]
 
 
--- a/src/ebonystile/core/carrying/routes.py
+++ b/src/ebonystile/core/carrying/routes.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from ebonystile.core.carrying import packet
+from ebonystile.core.carrying import packet, warming
 
 SPLIT_SEED = 0x51
 """Seed that keeps the split of a route's flows independent of their ranking."""
@@ -13,10 +13,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
-    """Where the flows of one address and port go: services with their weights."""
+    """Where the flows of one address and port go: services with their weights.
+
+    `regions` are those whose upstreams may get the flows, empty for all.
+    """
 
     name: str
     shares: tuple[tuple[str, int], ...]
+    regions: tuple[str, ...] = ()
 
     def service_of(self, flow: packet.Flow) -> str:
         """Return the service of a new flow, the same one for every copy of its opening packet."""
@@ -39,17 +43,23 @@
 class Routes:
     """All routes of one version of the configuration.
 
-    `idle` is how long a flow may be silent before it may be forgotten, in ms.
+    `idle` is how long a flow may be silent before it may be forgotten, in ms. `warm_ups` tells by
+    service how upstreams start.
     """
 
     version: int
     by_end: dict[bytes, Route]
     idle: int
+    warm_ups: typing.Mapping[str, warming.WarmUp] = dataclasses.field(default_factory=dict)
 
     def find(self, flow: packet.Flow) -> Route | None:
         """Return the route of the flow, or None where there is none."""
         return self.by_end.get(packet.route_end(flow))
 
+    def warm_up_of(self, service: str) -> warming.WarmUp:
+        """Return how the upstreams of a service start."""
+        return self.warm_ups.get(service, warming.UNBOUNDED)
+
 
 DEFAULT_IDLE = 15_000
 """Silence after which a flow may be forgotten while no configuration says so, in ms."""
@@ -57,9 +67,15 @@
 EMPTY = Routes(0, {}, DEFAULT_IDLE)
 
 
-def make_routes(version: int, routes: typing.Iterable[tuple[str, int, Route]], idle: int) -> Routes:
+def make_routes(
+    version: int,
+    routes: typing.Iterable[tuple[str, int, Route]],
+    idle: int,
+    warm_ups: typing.Mapping[str, warming.WarmUp] | None = None,
+) -> Routes:
     """Return routes given with their addresses and ports."""
-    return Routes(version, {packet.end_of(host, port): r for host, port, r in routes}, idle)
+    by_end = {packet.end_of(host, port): route for host, port, route in routes}
+    return Routes(version, by_end, idle, warm_ups or {})
 
 
 class Current:
--- a/src/ebonystile/core/carrying/sidecar.py
+++ b/src/ebonystile/core/carrying/sidecar.py
@@ -9,7 +9,16 @@
 import typing
 
 from ebonystile.core import view
-from ebonystile.core.carrying import announcing, effects, fleet, messages, packet, routes, table
+from ebonystile.core.carrying import (
+    announcing,
+    effects,
+    fleet,
+    messages,
+    packet,
+    routes,
+    table,
+    warming,
+)
 
 SILENT_MS = 60
 """How long an upstream may leave an opening packet unanswered before it counts as silent, in ms:
@@ -61,6 +70,7 @@
         self.current = routes.Current()
         self.fleet = fleet.Fleet()
         self.table = table.Table()
+        self.warming = warming.Warming()
         self.absent: dict[packet.Flow, int] = {}
         self.probed: dict[packet.Flow, Probed] = {}
         self.leaving = False
@@ -174,8 +184,15 @@
             accepting=not self.refusal(),
             silent=self.silent(now),
             saturated=len(self.table.busy) >= slots,
+            full=not self.room(now),
         )
 
+    def room(self, now: int) -> bool:
+        """Tell whether the upstream may get one more new flow, as far as it is cold."""
+        own = self.own
+        warm_up = self.current.routes.warm_up_of(self.service)
+        return self.warming.room(warm_up, own.warm_at if own else None, now)
+
     def refusal(self) -> messages.Reason | None:
         """Return why no new flow may come, or None if one may."""
         own = self.own
@@ -285,6 +302,9 @@
 
     def on_upstream(self, sent: packet.Packet, now: int) -> list[effects.Effect]:
         """Act on a packet that the upstream sent or would not take."""
+        if self.unanswered_since is not None and now - self.unanswered_since >= SILENT_MS:
+            # It may have crashed and be back, cold, before its entry says so.
+            self.warming.note_restart(now)
         self.unanswered_since = None
         self.probed_since = None
         self.heard_at = now
@@ -320,6 +340,7 @@
             # The upstream held the flow and holds it no more: it has started anew, or given the
             # flow up. The caller would go on sending into nothing until its time is over.
             self.table.forget(sent.flow)
+            self.warming.note_restart(now)
             age = now - held.opened_at
             return [
                 effects.trace("flow_lost", flow=packet.flow_text(sent.flow), opened_ms_ago=age),
@@ -372,7 +393,7 @@
 
 @act.register
 def _(message: messages.Open, sidecar, received, source, now):
-    reason = refusal_of(message, received, sidecar)
+    reason = refusal_of(message, received, sidecar, now)
     if reason is not None:
         return [
             effects.trace("open_refused", flow=packet.flow_text(received.flow), reason=reason.name),
@@ -380,6 +401,7 @@
             *effects.read_again(message.version, sidecar.current.routes.version),
         ]
     sidecar.table.open(received.flow, source, now).source = source
+    sidecar.warming.note_opened(now)
     if sidecar.unanswered_since is None:
         sidecar.unanswered_since = now
     if now - sidecar.tried_at >= RETRY_MS:
@@ -391,7 +413,7 @@
 
 
 def refusal_of(
-    message: messages.Open, received: packet.Packet, sidecar: Sidecar
+    message: messages.Open, received: packet.Packet, sidecar: Sidecar, now: int
 ) -> messages.Reason | None:
     """Return why the upstream may not get the new flow, or None.
 
@@ -405,8 +427,12 @@
         route = known.find(received.flow)
         if route is None or sidecar.service not in route.services:
             return messages.Reason.NO_ROUTE
+        if not sidecar.fleet.within(sidecar.zone, route.regions):
+            return messages.Reason.OTHER_REGION
     if received.flow in sidecar.table.flows:
         return None
+    if not sidecar.room(now):
+        return messages.Reason.COLD
     return sidecar.refusal()
 
 
--- a/src/ebonystile/peer/carrying.py
+++ b/src/ebonystile/peer/carrying.py
@@ -38,7 +38,7 @@
 
 MOST_LISTENING = (1 << 32) - 1
 
-ACCEPTING, SILENT, SATURATED = 1, 2, 4
+ACCEPTING, SILENT, SATURATED, FULL = 1, 2, 4, 8
 
 MOST = (1 << 16) - 1
 """Largest number that a field of two bytes holds."""
@@ -101,17 +101,24 @@
         min(load.slots, MOST),
         min(load.latency, MOST),
         round(load.good * GOOD_SCALE),
-        ACCEPTING * load.accepting | SILENT * load.silent | SATURATED * load.saturated,
+        marks_of(load),
     )
 
 
+def marks_of(load: messages.Load) -> int:
+    """Return the marks of a load as bits."""
+    marks = ACCEPTING * load.accepting | SILENT * load.silent
+    return marks | SATURATED * load.saturated | FULL * load.full
+
+
 def load_of(
     running: int, flows: int, slots: int, latency: int, good: int, marks: int
 ) -> messages.Load:
     """Return the load that the last fields of an answer hold."""
-    accepting, silent, saturated = (bool(marks & m) for m in (ACCEPTING, SILENT, SATURATED))
+    accepting, silent = bool(marks & ACCEPTING), bool(marks & SILENT)
+    saturated, full = bool(marks & SATURATED), bool(marks & FULL)
     share = good / GOOD_SCALE
-    return messages.Load(running, flows, slots, latency, share, accepting, silent, saturated)
+    return messages.Load(running, flows, slots, latency, share, accepting, silent, saturated, full)
 
 
 @pack.register
--- a/src/ebonystile/platform/entries.py
+++ b/src/ebonystile/platform/entries.py
@@ -10,7 +10,7 @@
 
 from ebonystile import errors
 from ebonystile.core import view
-from ebonystile.core.carrying import fleet, routes
+from ebonystile.core.carrying import fleet, routes, warming
 
 OPERATORS_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
@@ -78,13 +78,25 @@
 
 
 class RouteBody(msgspec.Struct):
-    """A route: `host` is its address, `prefix` its port between slashes; `backends` splits it."""
+    """A route: `host` is its address, `prefix` its port between slashes; `backends` splits it.
+
+    `allowed_regions` names the regions whose upstreams may serve it, empty for all.
+    """
 
     name: str
     host: str
     prefix: str
     service: str = ""
     backends: list[ShareBody] = []
+    allowed_regions: list[str] | None = None
+
+
+class ServiceBody(msgspec.Struct):
+    """A service: how long its upstreams are cold, in s, and how many flows a second they bear."""
+
+    name: str
+    warmup_s: typing.Annotated[float, msgspec.Meta(ge=0, le=3_600)] = 0.0
+    warmup_per_s: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class LimitsBody(msgspec.Struct):
@@ -98,6 +110,7 @@
 
     version: typing.Annotated[int, msgspec.Meta(ge=1)]
     routes: list[RouteBody]
+    services: list[ServiceBody] = []
     limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
 
 
@@ -151,10 +164,18 @@
     """Return the routes of a configuration; raise `PlatformError` if it holds none."""
     body = decode(CONFIGURATIONS, item.value)
     return routes.make_routes(
-        body.version, (route_of(route) for route in body.routes), body.limits.idle_timeout_ms
+        body.version,
+        (route_of(route) for route in body.routes),
+        body.limits.idle_timeout_ms,
+        {service.name: warm_up_of(service) for service in body.services},
     )
 
 
+def warm_up_of(body: ServiceBody) -> warming.WarmUp:
+    """Return how the upstreams of a service start."""
+    return warming.WarmUp(int(body.warmup_s * 1_000), body.warmup_per_s)
+
+
 def route_of(body: RouteBody) -> tuple[str, int, routes.Route]:
     """Return the address, the port and the route; raise `PlatformError` if there is none."""
     shares = tuple((b.service, b.weight) for b in body.backends if b.weight > 0)
@@ -164,7 +185,7 @@
         fault = f'route {body.name}: "{body.prefix}" is no port'
         raise errors.PlatformError(fault, step=STEP, peer="platform")
     host = host_of(f"{body.host}:{port}")
-    return host, int(port), routes.Route(body.name, shares)
+    return host, int(port), routes.Route(body.name, shares, tuple(body.allowed_regions or ()))
 
 
 def drained_zone_of(key: str) -> str:
--- a/src/ebonystile/platform/node.py
+++ b/src/ebonystile/platform/node.py
@@ -23,6 +23,7 @@
     "name": "name of this instance, as logs show it",
     "role": "balancer or sidecar",
     "zone": "availability zone",
+    "regions": "region of each availability zone, for routes that are kept to some regions",
     "packets": "where the fabric sends callers' packets; callers hear at the same port",
     "ready": "where the platform asks whether packets may come",
     "internal_port": "where the system's processes hear one another, by UDP and TCP",
@@ -40,6 +41,7 @@
     "name": "name",
     "role": '"balancer" or "sidecar"',
     "zone": "name",
+    "regions": "object of zone to region",
     "packets": "ip:port",
     "ready": "ip:port",
     "internal_port": "number from 1 to 65535",
@@ -67,6 +69,7 @@
     internal_port: typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
     store: str
     seeds: list[str] = []
+    regions: dict[str, str] = {}
     from_upstream: str = ""
     upstream: str = ""
     service: str = ""
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -28,6 +28,7 @@
     "tests/carrying/test_announcing.py",
     "tests/carrying/test_overloaded.py",
     "tests/carrying/test_drained.py",
+    "tests/carrying/test_warming.py",
     "tests/carrier/test_feed.py",
 )
 """The tests that must notice, the quickest first: of the product's calls and of carried flows."""
@@ -664,5 +665,53 @@
         "            self.take_back_unlisted()\n",
         "",
     ),
+    Mutation(
+        "a cold upstream gets what it bears",
+        CORE + "carrying/sidecar.py",
+        "    if not sidecar.room(now):\n        return messages.Reason.COLD\n",
+        "",
+    ),
+    Mutation(
+        "the span of a second slides",
+        CORE + "carrying/warming.py",
+        "now - self.opened[0] > SECOND_MS:",
+        "now // SECOND_MS != self.opened[0] // SECOND_MS:",
+    ),
+    Mutation(
+        "an upstream that lost a flow is cold",
+        CORE + "carrying/sidecar.py",
+        "            self.warming.note_restart(now)\n            age =",
+        "            age =",
+    ),
+    Mutation(
+        "an upstream without an entry is cold",
+        CORE + "carrying/warming.py",
+        "if warm_at is None or now < warm_at:",
+        "if warm_at is not None and now < warm_at:",
+    ),
+    Mutation(
+        "a full upstream is chosen last",
+        CORE + "carrying/placing.py",
+        "return (self.load.silent, self.load.full)",
+        "return (self.load.silent, False)",
+    ),
+    Mutation(
+        "flows of a route stay in its regions",
+        CORE + "carrying/fleet.py",
+        "return not regions or self.regions.get(zone) in regions",
+        "return True",
+    ),
+    Mutation(
+        "a sidecar outside the route's regions refuses",
+        CORE + "carrying/sidecar.py",
+        "if not sidecar.fleet.within(sidecar.zone, route.regions):",
+        "if False:",
+    ),
+    Mutation(
+        "probes stay in the route's regions",
+        CORE + "carrying/finding.py",
+        "    if route is not None and route.regions:",
+        "    if False:",
+    ),
 )
 """Every safeguard that has a proof; docs/PROMISES.md tells which promise each serves."""
