Split the search for open flows: asking everybody, probing, deciding

What asks everybody is asking.py, what probes upstreams probing.py, what decides stays. No line of a decision changed; mutants follow the paths.

--- /dev/null
+++ b/src/ebonystile/core/carrying/asking.py
@@ -0,0 +1,65 @@
+"""Ask everybody about open flows, many flows in one message, within a budget of messages."""
+
+from ebonystile.core import view
+from ebonystile.core.carrying import effects, messages, packet, search, state
+
+FINDING_SINGLY = 16
+"""Searches for open flows under way from which on further ones ask everybody, and probe, for many
+flows in one message."""
+
+PATIENCE_MS = 1_000
+"""Longest time of a search that waits for its share of messages, in ms."""
+
+
+def ask_everybody(known: state.State, found: search.Search, now: int) -> list[effects.Effect]:
+    """Let the search ask everybody together with others, unless it has waited too long."""
+    if now >= found.started_at + PATIENCE_MS:
+        return give_up(known, found)
+    if found.flow not in known.batch.waiting:
+        known.batch.add(found, now)
+        known.wait(found, found.started_at + PATIENCE_MS)
+    return []
+
+
+def give_up(known: state.State, found: search.Search) -> list[effects.Effect]:
+    """End a search that had no share of messages in its time; its caller sends again."""
+    known.batch.waiting.pop(found.flow, None)
+    known.probes.waiting.pop(found.flow, None)
+    return known.end(found)
+
+
+def ask_batch(known: state.State, now: int) -> list[effects.Effect]:
+    """Ask everybody about the searches that wait for that, in one message each."""
+    wanted = min(len(known.fleet.by_address), search.LATER_WAVE)
+    if not known.fanout.take(wanted, now):
+        known.batch.due = max(now + 1, known.fanout.ready_at(wanted, now))
+        return []
+    questions: dict[view.Address, list[tuple[packet.Flow, int]]] = {}
+    for found in known.batch.take(known.searches, now):
+        acknowledged = found.packets[0].acknowledged
+        for upstream in found.next_wave(now):
+            questions.setdefault(upstream.address, []).append((found.flow, acknowledged))
+        known.wait(found, found.due)
+    version = known.current.routes.version
+    return [
+        effects.Send(
+            address,
+            messages.AskMany(
+                known.batch.remember(tuple(flow for flow, _ in asked), now),
+                version,
+                tuple(asked),
+            ),
+        )
+        for address, asked in questions.items()
+    ]
+
+
+def wait_for_room(
+    known: state.State, found: search.Search, messages_wanted: int, now: int
+) -> list[effects.Effect]:
+    """Go on once the messages may be sent, unless the search has taken too long by then."""
+    due = max(now + 1, known.fanout.ready_at(messages_wanted, now))
+    if due > found.started_at + PATIENCE_MS:
+        return known.end(found)
+    known.wait(found, due)
+    return []
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -11,11 +11,13 @@
 from ebonystile.core import view
 from ebonystile.core.carrying import (
     announcing,
+    asking,
     effects,
     finding,
     messages,
     opening,
     packet,
+    probing,
     search,
     state,
 )
@@ -103,7 +105,7 @@
             return []
         self.searches[received.flow] = begun
         self.finding += not begun.opening
-        return self.ask_next(begun, now) if begun.waves else finding.ask_everybody(self, begun, now)
+        return self.ask_next(begun, now) if begun.waves else asking.ask_everybody(self, begun, now)
 
     def begin_queued(self, now: int) -> list[effects.Effect]:
         """Begin the searches that there is room for, those that wait longest first."""
@@ -161,9 +163,9 @@
         if self.pending:
             todo.extend(self.begin_pending(now))
         if self.batch.due is not None and self.batch.due <= now:
-            todo.extend(finding.ask_batch(self, now))
+            todo.extend(asking.ask_batch(self, now))
         if self.probes.due is not None and self.probes.due <= now:
-            todo.extend(finding.send_probes(self, now))
+            todo.extend(probing.send_probes(self, now))
         due = self.next_search_due()
         while due is not None and due <= now:
             _, flow = heapq.heappop(self.dues)
@@ -214,7 +216,7 @@
         if found.goes_on and found.opening:
             return self.ask_next(found, now)
         if found.goes_on:
-            return finding.ask_everybody(self, found, now)
+            return asking.ask_everybody(self, found, now)
         until = self.patience(found)
         if now < until and not found.exhausted():
             self.wait(found, until)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -437,7 +437,7 @@
     ),
     Mutation(
         "few upstreams probed blindly",
-        CORE + "carrying/finding.py",
+        CORE + "carrying/probing.py",
         "unknown = unknown[: max(0, search.PROBED_BLIND - len(found.probed))]",
         "pass",
     ),
@@ -593,19 +593,19 @@
     ),
     Mutation(
         "few upstreams probed before the view is confirmed",
-        CORE + "carrying/finding.py",
+        CORE + "carrying/probing.py",
         "elif not known.view_confirmed(now):",
         "elif False:",
     ),
     Mutation(
         "probes share messages",
-        CORE + "carrying/finding.py",
-        "if len(unknown) > search.FIRST_WAVE or known.finding >= FINDING_SINGLY:",
+        CORE + "carrying/probing.py",
+        "if len(unknown) > search.FIRST_WAVE or known.finding >= asking.FINDING_SINGLY:",
         "if False:",
     ),
     Mutation(
         "a late answer ends no search",
-        CORE + "carrying/finding.py",
+        CORE + "carrying/asking.py",
         "    if found.flow not in known.batch.waiting:\n",
         "    if known.batch.waiting.pop(found.flow, None):\n"
         "        return known.end(found)\n"
@@ -709,7 +709,7 @@
     ),
     Mutation(
         "probes stay in the route's regions",
-        CORE + "carrying/finding.py",
+        CORE + "carrying/probing.py",
         "    if route is not None and route.regions:",
         "    if False:",
     ),
