--- a/tests/carrying/matrix.py
+++ b/tests/carrying/matrix.py
@@ -43,7 +43,14 @@
 MESSAGE_STEPS = (*PACKET_STEPS, *QUESTION_STEPS)
 """Steps that are messages, by `World.delays`."""
 
-MOMENTS = ("entry changed", "configuration spread", "fabric moves flows", "sidecar restarted")
+MOMENTS = (
+    "entry changed",
+    "configuration spread",
+    "fabric moves flows",
+    "sidecar restarted",
+    "zone drained",
+    "zone taken back",
+)
 """Steps of the day itself."""
 
 STEPS = (*MESSAGE_STEPS, *MOMENTS)
@@ -110,6 +117,8 @@
             (2_200, self.restart_one),
             (2_500, self.move_flows),
             (2_700, self.restart_all),
+            (3_050, self.change_drained, "zone drained", {"c"}),
+            (3_800, self.change_drained, "zone taken back", set()),
         ]
         for delay, *action in plan:
             self.later(delay, *action)
@@ -209,6 +218,12 @@
             caller.through = living[(place + 1) % len(living)]
         self.moment("fabric moves flows", living[0])
 
+    def change_drained(self, step: str, zones: set[str]) -> None:
+        """Let operators drain these zones and no others, known to each process after a while."""
+        self.drained = zones
+        self.spread(self.sidecars[2])
+        self.moment(step, self.sidecars[2])
+
     def restart_one(self) -> None:
         """Restart a sidecar beside its living upstream, as an upgrade does."""
         node = self.sidecars[2]
@@ -324,6 +339,8 @@
         ):
             self.found.append("a flow opened against the newest configuration, which was known")
         own = node.core.own
+        if node.zone in node.core.fleet.drained:
+            self.found.append("a flow opened in a zone that its sidecar knows to be drained")
         if own is not None and own.leaving:
             self.found.append("a flow opened at an upstream that its sidecar knows to be leaving")
 
