--- a/benches/regression.py
+++ b/benches/regression.py
@@ -14,6 +14,7 @@
 import click
 
 SITES = (
+    "shifted/norrlinje-lb-now-grown.toml",
     "large/norrlinje-lb-large.toml",
     "further/saomai-pets.toml",
     "further-grown/saomai-pets-grown.toml",
