--- a/src/ebonystile/carrier/shell.py
+++ b/src/ebonystile/carrier/shell.py
@@ -158,6 +158,7 @@
         except errors.SettingsError as error:
             self.log.event("reload", taken=False, reason=str(error))
             return
+        self.feed.fleet.regions = self.settings.regions
         self.log.event("reload", taken=True)
 
     def leave(self, name: str) -> None:
--- a/src/ebonystile/commands/causes.py
+++ b/src/ebonystile/commands/causes.py
@@ -2,6 +2,7 @@
 
 import click
 
+from ebonystile import errors
 from ebonystile.commands import shell
 from ebonystile.operator import carried, causes, events, tables
 
@@ -27,6 +28,9 @@
     around = 1000 * within_s
     since, until = (0, None) if at is None else (at - around, at + around)
     lines = carried.select(shell.texts_of(logs), carried.Filter(since=since, until=until))
+    if not lines:
+        reason = "no line of a carrying daemon for that time"
+        raise errors.UserError(reason, step="read", peer="logs")
     rows = causes.rows(causes.troubles(lines), span_ms)
     if not rows:
         click.echo("No flow had trouble.")
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -65,7 +65,7 @@
     sound: bool
 
     @property
-    def out(self) -> tuple[bool, bool]:
+    def unavailable(self) -> tuple[bool, bool]:
         """Return whether it is silent, and whether it may get no more flows just now."""
         return (self.load.silent, self.load.full)
 
@@ -73,7 +73,7 @@
     def calm(self) -> bool:
         """Tell whether at most one request waits there and nothing speaks against it."""
         load = self.load
-        return not any(self.out) and load.running <= load.slots and self.sound
+        return not any(self.unavailable) and load.running <= load.slots and self.sound
 
     @property
     def overloaded(self) -> bool:
@@ -148,8 +148,12 @@
     """
     if not standings:
         return None
-    least = min(standings, key=lambda s: (s.out, s.cost))
-    equals = [s for s in standings if s.out == least.out and s.cost <= least.cost + EQUAL_WORK]
+    least = min(standings, key=lambda s: (s.unavailable, s.cost))
+    equals = [
+        s
+        for s in standings
+        if s.unavailable == least.unavailable and s.cost <= least.cost + EQUAL_WORK
+    ]
     return equals[0]
 
 
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -77,8 +77,15 @@
     assert ran.exit_code == 0
     assert ran.output.splitlines()[0].split()[:3] == ["BEGAN", "CAUSE", "FLOWS"]
     assert "upstream lost it, caller told  1      0          0" in ran.output
-    quiet = click.testing.CliRunner().invoke(operator.main, ["causes"], input="nothing\n")
-    assert quiet.output == "No flow had trouble.\n"
+    log.write_text("time_ms=1500 program=sidecar process=s-1 event=start\n")
+    quiet = click.testing.CliRunner().invoke(operator.main, ["causes", str(log)])
+    assert quiet.output == "No flow had trouble.\n" and quiet.exit_code == 0
+
+
+def test_logs_without_a_line_of_ours_are_no_sign_that_all_is_well():
+    ran = click.testing.CliRunner().invoke(operator.main, ["causes"], input="nothing\n")
+    assert ran.exit_code != 0 and "no line of a carrying daemon" in ran.output
+    assert len(ran.output.splitlines()) == 1
 
 
 def test_a_new_flow_that_was_held_back_and_then_heard_of_no_more_was_not_told():
