One log line for a search that ends in vain, one way to a route's regions, one to what a list lacks

Read again as a whole, the change had written three things twice: the fields of the line not_placed, beside the one that the balancer writes for not_placed and not_found; the look-up of a route's regions, in placing and in probing, one with a case for no route of its own; and the loop over names that a whole list does not show, whose predicate also dropped what relays serve. Each is one piece now. Behaviour is as before; the mutant of probes' regions follows the text.

Left as they are: the pairs of places that share only a shape (two data classes, test scenes that differ in a line).

--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -198,28 +198,30 @@
         self.relay.restart(self.reader.revision)
         self.relay.advance(self.reader.revision)
 
-    def unlisted(self, key: str) -> bool:
-        """Tell whether the whole list that was just read shows a key to be gone.
+    def forget_unlisted(self, prefix: str, names: abc.Iterable[str]) -> list[str]:
+        """Relay no more what the whole list just read shows to be gone; return those names.
 
         A relay's list may be older than what this process has read before. Taken at its word, it
         would drop an upstream that has just come, or end the draining of a zone.
         """
-        if key in self.seen or self.revisions.get(key, 0) > self.list_revision:
-            return False
-        self.relay.items.pop(key, None)
-        return True
+        gone = []
+        for name in names:
+            key = prefix + name
+            if key in self.seen or self.revisions.get(key, 0) > self.list_revision:
+                continue
+            self.relay.items.pop(key, None)
+            gone.append(name)
+        return gone
 
     def drop_unlisted(self, now: int) -> None:
         """Drop the upstreams that a whole list does not show."""
-        for name in list(self.fleet.upstreams):
-            if self.unlisted(entries.ENTRIES_PREFIX + name):
-                self.remove(name, "unlisted", now)
+        for name in self.forget_unlisted(entries.ENTRIES_PREFIX, self.fleet.upstreams):
+            self.remove(name, "unlisted", now)
 
     def take_back_unlisted(self) -> None:
         """Take back the drained zones that a whole list does not show."""
-        for zone in sorted(self.fleet.drained):
-            if self.unlisted(entries.DRAINED_PREFIX + zone):
-                self.take_back(zone, self.list_revision)
+        for zone in self.forget_unlisted(entries.DRAINED_PREFIX, sorted(self.fleet.drained)):
+            self.take_back(zone, self.list_revision)
 
     def take_item(self, item: entries.Item, now: int) -> None:
         """Take in one item, unless a later one of its key is known."""
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -247,14 +247,7 @@
             if not (over or missing or last.aborts) and found.looks < finding.MOST_LOOKS:
                 due = now + finding.CONFIRM_MS
                 return finding.look_again(self, found.packets, now, due, found.looks + 1)
-        traced = effects.trace(
-            "not_placed" if found.opening else "not_found",
-            flow=packet.flow_text(found.flow),
-            asked=len(found.asked),
-            answered=len(found.answers),
-            reset=over,
-            searched_ms=now - found.started_at,
-        )
+        traced = found.trace_end(now, reset=over)
         if not over or last.aborts:
             return [traced]
         self.homes.pop(found.flow, None)
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -26,8 +26,7 @@
     known: state.State, received: packet.Packet, service: str, now: int
 ) -> search.Search:
     """Return the search for an upstream that takes a new flow."""
-    route = known.current.routes.find(received.flow)
-    willing = known.fleet.willing(service, route.regions if route else ())
+    willing = known.fleet.willing(service, known.current.routes.regions_of(received.flow))
     heard = [u for u in willing if u.address not in known.silence]
     near, far = placing.split(heard or willing, known.zone)
     flow = received.flow
@@ -112,19 +111,9 @@
 ) -> list[effects.Effect]:
     """Tell the caller that no upstream may take its flow, all being cold and at their bounds."""
     known.end(found)
-    last = found.packets[-1]
     return [
-        effects.trace(
-            "not_placed",
-            flow=packet.flow_text(found.flow),
-            asked=len(found.asked),
-            answered=len(found.answers),
-            reset=True,
-            searched_ms=now - found.started_at,
-            reason="cold",
-            **inputs_of(chosen),
-        ),
-        effects.Reset(found.flow, last.acknowledged),
+        found.trace_end(now, reset=True, reason="cold", **inputs_of(chosen)),
+        effects.Reset(found.flow, found.packets[-1].acknowledged),
     ]
 
 
--- a/src/ebonystile/core/carrying/probing.py
+++ b/src/ebonystile/core/carrying/probing.py
@@ -27,10 +27,9 @@
     The others wait until the view is confirmed. Before that nobody can be told that a flow is
     over, and to probe all upstreams for all flows would hold up those flows that live.
     """
-    route = known.current.routes.find(found.flow)
-    if route is not None and route.regions:
-        # A probe carries the caller's data, which must not leave the route's regions.
-        unknown = [u for u in unknown if known.fleet.within(u.zone, route.regions)]
+    # A probe carries the caller's data, which must not leave the route's regions.
+    regions = known.current.routes.regions_of(found.flow)
+    unknown = [u for u in unknown if known.fleet.within(u.zone, regions)]
     if not found.probed:
         unknown = unknown[: search.FIRST_WAVE]
     elif not known.view_confirmed(now):
--- a/src/ebonystile/core/carrying/routes.py
+++ b/src/ebonystile/core/carrying/routes.py
@@ -56,6 +56,11 @@
         """Return the route of the flow, or None where there is none."""
         return self.by_end.get(packet.route_end(flow))
 
+    def regions_of(self, flow: packet.Flow) -> tuple[str, ...]:
+        """Return the regions that the flow's route is kept to, empty for all of them."""
+        route = self.find(flow)
+        return route.regions if route is not None else ()
+
     def warm_up_of(self, service: str) -> warming.WarmUp:
         """Return how the upstreams of a service start."""
         return self.warm_ups.get(service, warming.UNBOUNDED)
--- a/src/ebonystile/core/carrying/search.py
+++ b/src/ebonystile/core/carrying/search.py
@@ -4,7 +4,7 @@
 import typing
 
 from ebonystile.core import view
-from ebonystile.core.carrying import fleet, messages, packet
+from ebonystile.core.carrying import effects, fleet, messages, packet
 
 WAVE_MS = 20
 """How long a wave of questions is waited for before the next one, in ms: a round trip between
@@ -165,6 +165,18 @@
         """Tell whether there is nothing to wait for in the present wave."""
         return self.settled() or now >= self.due
 
+    def trace_end(self, now: int, *, reset: bool, **more: typing.Any) -> effects.Effect:
+        """Return the log line of a search that ends in vain; `reset` if its caller is told."""
+        return effects.trace(
+            "not_placed" if self.opening else "not_found",
+            flow=packet.flow_text(self.flow),
+            asked=len(self.asked),
+            answered=len(self.answers),
+            reset=reset,
+            searched_ms=now - self.started_at,
+            **more,
+        )
+
     def settled(self) -> bool:
         """Tell whether everybody has said what there is to say for now."""
         return self.all_answered() and not self.open_probes()
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -710,8 +710,8 @@
     Mutation(
         "probes stay in the route's regions",
         CORE + "carrying/probing.py",
-        "    if route is not None and route.regions:",
-        "    if False:",
+        "    unknown = [u for u in unknown if known.fleet.within(u.zone, regions)]\n",
+        "",
     ),
 )
 """Every safeguard that has a proof; docs/PROMISES.md tells which promise each serves."""
