A test for the sidecar's bound on a cold upstream, which a mutant survived

With the refusal at the sidecar taken out no test failed: in each of them balancers were told in time that the upstream was full. Eight balancers that choose it in the same millisecond are not.

--- a/tests/carrying/test_warming.py
+++ b/tests/carrying/test_warming.py
@@ -61,6 +61,20 @@
     assert len(homes) == 60
 
 
+def test_a_cold_upstream_gets_no_more_from_balancers_that_all_choose_it_at_once():
+    """Each balancer was told of room before the flows of the others had arrived."""
+    scene = world.World(balancers=8)
+    bound(scene)
+    cold = scene.sidecars[:2]
+    cool(scene, *cold)
+    through = scene.balancers
+    callers = [scene.caller(41_000 + n, through=through[n % len(through)]) for n in range(40)]
+    scene.run(500)
+    assert all(0 < len(node.upstream.opened) <= PER_SECOND for node in cold)
+    assert sum(len(node.upstream.opened) for node in scene.sidecars) == len(callers)
+    assert not any(caller.resets for caller in callers)
+
+
 def test_callers_of_cold_upstreams_alone_are_told_in_time_to_come_back():
     """Every upstream is cold after a loss of power; what they don't bear is refused, not lost."""
     scene = world.World()
