Observability: the store's epoch, and what a reader passes over, are logged and counted

The logs could not tell whether a change never came, came and was passed over as older, or was refused: nothing showed the epoch of the store (header Store-Era), an answer below the revision read so far, or an item below the known revision of its key. Now: events store_restored, answer_older and item_older, the gauge ebonystile_store_epoch, the counts older_answers and older_items.

The HTTP client hands its callers a whole answer, with headers, in place of status and body.

--- a/src/ebonystile/carrier/calls.py
+++ b/src/ebonystile/carrier/calls.py
@@ -21,13 +21,22 @@
 """Time after which unacknowledged bytes close the connection, in ms."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A complete HTTP answer; the names of `headers` are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class PendingCall:
     """The call in progress; `deadline` and `first_byte_by` are times in ms."""
 
     path: str
     deadline: int
-    on_answer: abc.Callable[[int, bytes], None]
+    on_answer: abc.Callable[[Answer], None]
     on_failure: abc.Callable[[str], None]
     first_byte_by: int | None = None
     has_begun: bool = False
@@ -44,6 +53,7 @@
         self.parser: httptools.HttpResponseParser | None = None
         self.pending: PendingCall | None = None
         self.unsent = b""
+        self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.complete = False
         self.reused = False
@@ -53,7 +63,7 @@
         self,
         path: str,
         deadline: int,
-        on_answer: abc.Callable[[int, bytes], None],
+        on_answer: abc.Callable[[Answer], None],
         on_failure: abc.Callable[[str], None],
         first_byte_by: int | None = None,
     ) -> None:
@@ -73,6 +83,7 @@
         if self.socket is None:
             self.connect()
         self.parser = httptools.HttpResponseParser(self)
+        self.headers = {}
         self.body.clear()
         self.complete = False
         host = f"{self.server[0]}:{self.server[1]}"
@@ -140,6 +151,10 @@
                 self.finish_call()
                 return
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header of the answer; called by the parser."""
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, data: bytes) -> None:
         """Append a part of the answer's body; called by the parser."""
         self.body += data
@@ -153,10 +168,10 @@
     def finish_call(self) -> None:
         """Pass the complete answer to the callback of the call."""
         done, self.pending = self.pending, None
-        status, body = self.parser.get_status_code(), bytes(self.body)
+        answer = Answer(self.parser.get_status_code(), self.headers, bytes(self.body))
         if not self.keep_alive:
             self.close()
-        done.on_answer(status, body)
+        done.on_answer(answer)
 
     def on_connection_lost(self, reason: str) -> None:
         """Retry once if the lost connection was reused from an earlier call; else fail.
--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -47,6 +47,7 @@
         self.revisions: dict[str, int] = {}
         self.listed_keys: set[str] = set()
         self.list_revision = 0
+        self.epoch: int | None = None
         self.counts: collections.Counter[str] = collections.Counter()
         self.wanted_version = 0
 
@@ -137,18 +138,20 @@
             self.clients[self.source].cancel()
             self.call = None
 
-    def on_answer(self, status: int, body: bytes) -> None:
+    def on_answer(self, answer: calls.Answer) -> None:
         """Apply an answer of the store or a relay, and make the next call."""
         call, self.call = self.call, None
         now = clock.now()
         try:
-            result = store.parse_result(call, status, body)
+            epoch = store.epoch_in(answer.headers)
+            result = store.parse_result(call, answer.status, answer.body)
         except errors.PlatformError as error:
-            store_failed = self.source is sourcing.STORE or status == store.UNAVAILABLE
+            store_failed = self.source is sourcing.STORE or answer.status == store.UNAVAILABLE
             self.record_failure(call, str(error), store_failed)
             return
         self.counts["store_answered" if self.source is sourcing.STORE else "relay_answered"] += 1
         self.sources.on_answered(self.source)
+        self.log_restoration(epoch, result)
         was_failing = self.reader.failing_since
         self.apply_result(call, result, now)
         if was_failing is not None:
@@ -156,6 +159,29 @@
         self.on_change()
         self.make_next_call()
 
+    def log_restoration(self, epoch: int, result: store.Result) -> None:
+        """Log a new epoch of the store, and an answer that is older than what has been read."""
+        known = self.reader.revision
+        revision = None if isinstance(result, store.HistoryLost) else result.revision
+        if self.source is sourcing.STORE and epoch != self.epoch:
+            if self.epoch is not None:
+                self.log.event(
+                    "store_restored",
+                    epoch=epoch,
+                    before=self.epoch,
+                    revision=revision,
+                    known_revision=known,
+                )
+            self.epoch = epoch
+        if revision is not None and known is not None and revision < known:
+            self.counts["older_answers"] += 1
+            self.log.event(
+                "answer_older",
+                source=source_text(self.source),
+                revision=revision,
+                known_revision=known,
+            )
+
     def on_failure(self, reason: str) -> None:
         """Handle a call that failed without an answer."""
         call, self.call = self.call, None
@@ -231,7 +257,13 @@
 
     def apply_item(self, item: entries.Item, now: int) -> None:
         """Apply one item, unless a later revision of its key has been applied."""
-        if item.revision <= self.revisions.get(item.key, 0):
+        known = self.revisions.get(item.key, 0)
+        if item.revision <= known:
+            if item.revision < known:
+                self.counts["older_items"] += 1
+                self.log.event(
+                    "item_older", key=item.key, revision=item.revision, known_revision=known
+                )
             return
         self.revisions[item.key] = item.revision
         self.relay.add_item(item)
--- a/src/ebonystile/platform/store.py
+++ b/src/ebonystile/platform/store.py
@@ -1,6 +1,7 @@
 """Build requests to the platform's store and parse its answers."""
 
 import dataclasses
+import typing
 
 from ebonystile import errors
 from ebonystile.core.carrying import reading
@@ -21,6 +22,12 @@
 
 OK, GONE, UNAVAILABLE = 200, 410, 503
 
+EPOCH_HEADER = "store-era"
+"""Header of each answer with the store's epoch, which rises by one each time that the store is
+restored from an older copy."""
+
+MAX_EPOCH_DIGITS = 9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
@@ -72,6 +79,15 @@
     return urllib.parse.quote(key, safe="")
 
 
+def epoch_in(headers: typing.Mapping[str, str]) -> int:
+    """Return the epoch in an answer's headers, 0 if there is none; raise `PlatformError`."""
+    text = headers.get(EPOCH_HEADER, "0")
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_EPOCH_DIGITS:
+        reason = f'"{text}" is not an epoch'
+        raise errors.PlatformError(reason, step="read the store", peer="platform")
+    return int(text)
+
+
 def parse_result(call: reading.Call, status: int, body: bytes) -> Result:
     """Return the parsed answer of a call; raise `PlatformError` if it failed or is malformed."""
     if call.kind is reading.Kind.WATCH and status == GONE:
--- a/tests/carrier/test_feed.py
+++ b/tests/carrier/test_feed.py
@@ -148,3 +148,34 @@
     random.Random(1).shuffle(many)
     apply_watch(store_feed, [*many, item(DRAINED, 2_000)], 2_000)
     assert len(store_feed.fleet.drained) == 1_001 and "umea" in store_feed.fleet.drained
+
+
+class Logged:
+    """A log that keeps its events by name, with their fields."""
+
+    def __init__(self):
+        self.events = []
+
+    def event(self, name, **fields):
+        self.events.append((name, fields))
+
+    def fields_of(self, name):
+        return [fields for event, fields in self.events if event == name]
+
+
+def test_a_restored_store_and_what_is_passed_over_are_logged(store_feed):
+    """Without these lines a change that was lost looks like one that never came."""
+    store_feed.log = Logged()
+    store_feed.log_restoration(3, store.Watched((), 20))
+    apply_watch(store_feed, [configuration(20)], 20)
+    store_feed.log_restoration(4, store.Watched((), 15))
+    apply_watch(store_feed, [configuration(15, 2)], 15)
+    assert store_feed.log.fields_of("store_restored") == [
+        {"epoch": 4, "before": 3, "revision": 15, "known_revision": 20}
+    ]
+    assert store_feed.log.fields_of("answer_older") == [
+        {"source": "store", "revision": 15, "known_revision": 20}
+    ]
+    assert store_feed.log.fields_of("item_older") == [
+        {"key": "op/config", "revision": 15, "known_revision": 20}
+    ]
--- a/tests/carrier/test_relay.py
+++ b/tests/carrier/test_relay.py
@@ -33,7 +33,7 @@
         self.client.get(
             store.build_path(call, now),
             call.deadline,
-            lambda status, body: self.results.append((call, status, body)),
+            lambda answer: self.results.append((call, answer.status, answer.body)),
             lambda reason: self.results.append((call, 0, reason)),
             first_byte_by=None if first_byte_ms is None else now + first_byte_ms,
         )
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -172,3 +172,10 @@
     for torn in (b"", b"{", b'{"events":', b"[]", b"\xff\xfe"):
         with pytest.raises(errors.PlatformError):
             store.parse_result(asked, 200, torn)
+
+
+def test_the_epoch_of_the_store_is_read_from_its_header():
+    assert store.epoch_in({"store-era": "7"}) == 7 and store.epoch_in({}) == 0
+    for malformed in ("", "-1", "1.5", "x", "9" * 30, "٣"):
+        with pytest.raises(errors.PlatformError):
+            store.epoch_in({"store-era": malformed})
