--- a/standins/store.py
+++ b/standins/store.py
@@ -2,7 +2,9 @@
 
 Only the read side is served over HTTP. `set_mode` makes it refuse calls (503) or leave them
 unanswered; `forget` drops the history, so that watches fail with 410 and readers list everything
-again; after `age`, reads that allow stale data get the state of that moment.
+again; after `age`, reads that allow stale data get the state of that moment. `back_up` keeps a
+copy, and `restore` goes back to it: what was written since is gone, its revisions are given out
+again, and the epoch in the header `Store-Era` of all answers rises by one.
 """
 
 import base64
@@ -25,22 +27,39 @@
     key: str
     value: bytes | None
     revision: int
+    created: int
 
     def document(self):
         """Return the JSON document of the item in watches and lists."""
         if self.value is None:
             return {"key": self.key, "revision": self.revision, "tombstone": True}
         text = base64.b64encode(self.value).decode()
-        created = self.revision
         return {
             "key": self.key,
             "value": text,
             "revision": self.revision,
-            "created": created,
+            "created": self.created,
             "lease": 0,
         }
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """The items at a revision."""
+
+    items: dict[str, Item]
+    revision: int
+
+    def page(self, prefix: str, after: str) -> web.Answer:
+        """Return one page of the items with a prefix, from behind the key `after`."""
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        documents = [self.items[key].document() for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return web.json_answer(
+            {"items": documents, "has_more": more, "store_revision": self.revision}
+        )
+
+
 class Store:
     """The store and its server; methods are thread-safe."""
 
@@ -50,9 +69,11 @@
         self.history: list[Item] = []
         self.floor = 0
         self.revision = 10
+        self.epoch = 1
         self.mode = SERVING
         self.calls = 0
-        self.old: tuple[dict[str, Item], int] | None = None
+        self.old: Copy | None = None
+        self.backup = self.copy()
         self.server = web.Server(0, self)
         threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
 
@@ -61,16 +82,20 @@
         """Return `ip:port`."""
         return f"127.0.0.1:{self.server.server_port}"
 
+    def copy(self) -> Copy:
+        """Return the current state."""
+        return Copy(dict(self.items), self.revision)
+
     def put(self, key: str, value) -> None:
         """Write a value, encoded as JSON unless it is bytes; None deletes the key."""
         data = value if isinstance(value, bytes | None) else json.dumps(value).encode()
         with self.changed:
             self.revision += 1
-            item = Item(key, data, self.revision)
+            before = self.items.pop(key, None)
+            created = before.created if before is not None else self.revision
+            item = Item(key, data, self.revision, created)
             self.history.append(item)
-            if data is None:
-                self.items.pop(key, None)
-            else:
+            if data is not None:
                 self.items[key] = item
             self.changed.notify_all()
 
@@ -84,7 +109,21 @@
     def age(self) -> None:
         """Serve the current state from now on to reads that allow stale data."""
         with self.changed:
-            self.old = (dict(self.items), self.revision)
+            self.old = self.copy()
+
+    def back_up(self) -> None:
+        """Keep a copy of the current state."""
+        with self.changed:
+            self.backup = self.copy()
+
+    def restore(self) -> None:
+        """Go back to the copy, in a new epoch; waiting watches are cut."""
+        with self.changed:
+            self.items, self.revision = dict(self.backup.items), self.backup.revision
+            self.history = [item for item in self.history if item.revision <= self.revision]
+            self.floor = min(self.floor, self.revision)
+            self.epoch += 1
+            self.changed.notify_all()
 
     def set_mode(self, mode: str) -> None:
         """Set whether calls are served, refused or left unanswered."""
@@ -99,49 +138,51 @@
         self.server.server_close()
 
     def answer(self, query: web.Query) -> web.Answer:
-        """Return the response to an HTTP request."""
+        """Return the response to an HTTP request, with the epoch in its headers."""
         self.calls += 1
         with self.changed:
-            if self.mode == SILENT:
-                self.changed.wait_for(lambda: self.mode != SILENT, MAX_WAIT_S)
-                return web.Answer(cut=True)
-            if self.mode == REFUSING:
-                return web.Answer(503)
-            state = self.items, self.revision
-            if self.old is not None and query.parameters.get("stale_ok") == "1":
-                state = self.old
-            if query.path == "-/kv-range":
-                prefix, after = query.parameters.get("prefix", ""), query.parameters.get("after")
-                return page(*state, prefix, after)
-            if query.path == "-/kv-watch":
-                return self.watch(query)
+            answer = self.answer_call(query)
+            return dataclasses.replace(answer, headers={"Store-Era": str(self.epoch)})
+
+    def answer_call(self, query: web.Query) -> web.Answer:
+        """Return the response to a call; the lock must be held."""
+        if self.mode == SILENT:
+            self.changed.wait_for(lambda: self.mode != SILENT, MAX_WAIT_S)
+            return web.Answer(cut=True)
+        if self.mode == REFUSING:
+            return web.Answer(503)
+        if query.path == "-/kv-range":
+            is_stale = self.old is not None and query.parameters.get("stale_ok") == "1"
+            state = self.old if is_stale else self.copy()
+            return state.page(query.parameters.get("prefix", ""), query.parameters.get("after", ""))
+        if query.path == "-/kv-watch":
+            return self.watch(query)
         return web.Answer(404)
 
     def watch(self, query: web.Query) -> web.Answer:
         """Wait for changes after a revision and return them; the lock must be held."""
         prefix = query.parameters.get("prefix", "")
         after = query.number("after", 0)
+        epoch = self.epoch
         until = time.monotonic() + query.number("wait_ms", 0) / 1000
 
         def news():
             return [i for i in self.history if i.revision > after and i.key.startswith(prefix)]
 
-        while self.mode == SERVING and after >= self.floor and not news():
+        def is_serving():
+            return self.mode == SERVING and self.epoch == epoch
+
+        def has_history():
+            return self.floor <= after <= self.revision
+
+        while is_serving() and has_history() and not news():
             left = until - time.monotonic()
             if left <= 0:
                 break
             self.changed.wait(left)
-        if self.mode != SERVING:
+        if not is_serving():
             return web.Answer(cut=True)
-        if after < self.floor:
+        if not has_history():
             return web.Answer(410)
         events = [item.document() for item in news()]
         return web.json_answer({"events": events, "store_revision": self.revision})
-
-
-def page(items: dict[str, Item], revision: int, prefix: str, after: str | None) -> web.Answer:
-    """Return one page of the items with a prefix."""
-    keys = sorted(k for k in items if k.startswith(prefix) and k > (after or ""))
-    documents = [items[key].document() for key in keys[:PAGE_ITEMS]]
-    more = len(keys) > PAGE_ITEMS
-    return web.json_answer({"items": documents, "has_more": more, "store_revision": revision})
