The store is followed over a restoration from an older copy: positions in place of revisions

Cause: the store came back from a copy some seconds old and gave its revisions out again, and our processes ordered its states by the revision alone, as if it only ever rose. The class: an order taken from a counter that can go back. It stood in two doors of one path. A reader passed over each item whose revision was not above the last one of its key (version 29 was revision 17, version 27 had been 19). A relay passed on only changes above the revision that its readers asked from (the leaving entry was 68, the readers had 69); these readers never got the 410 of the store.

Ruled out: a refusal (no configuration_refused), silent connections (version 53 came through the same relays 1.2 s later).

Change: the store's epoch (header Store-Era) and its revision form one position, epoch in the upper bits, as in the transaction ids of ZooKeeper. An answer of a later epoch starts a full read, and the view is not current until that is done: relays refuse watches and no flow is reset meanwhile. An answer of an earlier epoch, of a relay that lags behind, is refused, and another source is asked. Entries that the copy lacks are kept for the grace period of an outage.

--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -2,11 +2,12 @@
 
 import collections
 import random
+import typing
 from collections import abc
 
 from ebonystile import clock, errors, loop
 from ebonystile.carrier import calls, journal, relay
-from ebonystile.core import view
+from ebonystile.core import positions, view
 from ebonystile.core.carrying import fleet, reading, routes, sourcing
 from ebonystile.platform import entries, node, store
 
@@ -47,7 +48,6 @@
         self.revisions: dict[str, int] = {}
         self.listed_keys: set[str] = set()
         self.list_revision = 0
-        self.epoch: int | None = None
         self.counts: collections.Counter[str] = collections.Counter()
         self.wanted_version = 0
 
@@ -144,14 +144,14 @@
         now = clock.now()
         try:
             epoch = store.epoch_in(answer.headers)
-            result = store.parse_result(call, answer.status, answer.body)
+            result = store.parse_result(call, answer.status, answer.body, epoch)
+            self.check_epoch(call, result)
         except errors.PlatformError as error:
             store_failed = self.source is sourcing.STORE or answer.status == store.UNAVAILABLE
             self.record_failure(call, str(error), store_failed)
             return
         self.counts["store_answered" if self.source is sourcing.STORE else "relay_answered"] += 1
         self.sources.on_answered(self.source)
-        self.log_restoration(epoch, result)
         was_failing = self.reader.failing_since
         self.apply_result(call, result, now)
         if was_failing is not None:
@@ -159,28 +159,24 @@
         self.on_change()
         self.make_next_call()
 
-    def log_restoration(self, epoch: int, result: store.Result) -> None:
-        """Log a new epoch of the store, and an answer that is older than what has been read."""
-        known = self.reader.revision
-        revision = None if isinstance(result, store.HistoryLost) else result.revision
-        if self.source is sourcing.STORE and epoch != self.epoch:
-            if self.epoch is not None:
-                self.log.event(
-                    "store_restored",
-                    epoch=epoch,
-                    before=self.epoch,
-                    revision=revision,
-                    known_revision=known,
-                )
-            self.epoch = epoch
-        if revision is not None and known is not None and revision < known:
+    def check_epoch(self, call: reading.Call, result: store.Result) -> None:
+        """Raise `PlatformError` if an answer comes from before the store's latest restoration.
+
+        A relay that has not read the restored store yet would bring back what was lost.
+        """
+        if isinstance(result, store.HistoryLost):
+            return
+        epoch = positions.epoch_of(result.revision)
+        if self.reader.is_earlier_epoch(epoch):
             self.counts["older_answers"] += 1
             self.log.event(
                 "answer_older",
                 source=source_text(self.source),
-                revision=revision,
-                known_revision=known,
+                epoch=epoch,
+                known_epoch=self.reader.epoch,
             )
+            reason = f"epoch {epoch} is over, the store is in epoch {self.reader.epoch}"
+            raise errors.PlatformError(reason, step=f"read {call.kind.value}", peer="platform")
 
     def on_failure(self, reason: str) -> None:
         """Handle a call that failed without an answer."""
@@ -204,9 +200,11 @@
     def apply_result(self, call: reading.Call, result: store.Result, now: int) -> None:
         """Apply the result of a call to the view and to the relay."""
         if isinstance(result, store.HistoryLost):
-            self.log.event("history_gone", revision=call.revision)
+            self.log.event("history_gone", revision=positions.revision_of(call.revision))
             self.reader.on_history_lost(now)
             return
+        if self.note_epoch(result.revision, now):
+            return
         for item in result.items:
             self.apply_item(item, now)
         if isinstance(result, store.Watched):
@@ -230,6 +228,21 @@
         self.relay.restart(self.reader.revision)
         self.relay.advance(self.reader.revision)
 
+    def note_epoch(self, position: int, now: int) -> bool:
+        """Record the epoch of an answer; return whether it shows a restoration of the store."""
+        before, known = self.reader.epoch, self.reader.revision
+        is_restored = self.reader.note_epoch(positions.epoch_of(position), now)
+        if is_restored:
+            self.log.event(
+                "store_restored",
+                epoch=self.reader.epoch,
+                before=before,
+                revision=positions.revision_of(position),
+                known_revision=positions.revision_of(known or 0),
+                source=source_text(self.source),
+            )
+        return is_restored
+
     def forget_missing(self, prefix: str, names: abc.Iterable[str]) -> list[str]:
         """Remove from the relay the names that the list just read lacks, and return them.
 
@@ -261,8 +274,9 @@
         if item.revision <= known:
             if item.revision < known:
                 self.counts["older_items"] += 1
-                self.log.event(
-                    "item_older", key=item.key, revision=item.revision, known_revision=known
+                known_revision = positions.revision_of(known)
+                self.log_change(
+                    "item_older", item.revision, key=item.key, known_revision=known_revision
                 )
             return
         self.revisions[item.key] = item.revision
@@ -282,15 +296,11 @@
             newer = entries.routes_of(item)
         except errors.PlatformError as error:
             self.counts["malformed"] += 1
-            self.log.event("configuration_refused", revision=item.revision, reason=str(error))
+            self.log_change("configuration_refused", item.revision, reason=str(error))
             return
         if self.route_table.replace(newer):
-            self.log.event(
-                "configured",
-                version=newer.version,
-                routes=len(newer.by_endpoint),
-                revision=item.revision,
-            )
+            routes_count = len(newer.by_endpoint)
+            self.log_change("configured", item.revision, version=newer.version, routes=routes_count)
 
     def apply_drain(self, item: entries.Item) -> None:
         """Start or end the drain of the zone that the key names; the value is ignored."""
@@ -298,20 +308,20 @@
             zone = entries.drained_zone_of(item.key)
         except errors.PlatformError as error:
             self.counts["malformed"] += 1
-            self.log.event("drain_malformed", revision=item.revision, reason=str(error))
+            self.log_change("drain_malformed", item.revision, reason=str(error))
             return
         if item.tombstone:
             self.end_drain(zone, item.revision)
         elif zone not in self.fleet.drained:
             self.fleet.drained.add(zone)
             members = sum(u.zone == zone for u in self.fleet.by_address.values())
-            self.log.event("zone_drained", zone=zone, upstreams=members, revision=item.revision)
+            self.log_change("zone_drained", item.revision, zone=zone, upstreams=members)
 
-    def end_drain(self, zone: str, revision: int) -> None:
+    def end_drain(self, zone: str, position: int) -> None:
         """End the drain of a zone, so that it gets new flows again."""
         if zone in self.fleet.drained:
             self.fleet.drained.remove(zone)
-            self.log.event("zone_taken_back", zone=zone, revision=revision)
+            self.log_change("zone_taken_back", position, zone=zone)
 
     def apply_entry(self, item: entries.Item, now: int) -> None:
         """Add, update or remove an upstream by its entry; a malformed entry removes it."""
@@ -332,13 +342,13 @@
             upstream.started_at,
             upstream.leaving,
         ):
-            self.log.event(
+            self.log_change(
                 "upstream",
+                item.revision,
                 upstream=name,
                 service=upstream.service,
                 born=upstream.started_at,
                 leaving=upstream.leaving,
-                revision=item.revision,
             )
 
     def remove_upstream(self, name: str, reason: str, now: int) -> None:
@@ -348,6 +358,10 @@
         gone = self.fleet.remove(name, now, keep_until)
         self.log.event("upstream_gone", upstream=name, reason=reason, at_once=gone)
 
+    def log_change(self, event: str, position: int, **fields: typing.Any) -> None:
+        """Log an event about what was read at a position of the store."""
+        self.log.event(event, **fields, revision=positions.revision_of(position))
+
 
 def source_text(source: sourcing.Source) -> str:
     """Return a source as text for logs."""
--- a/src/ebonystile/carrier/relay.py
+++ b/src/ebonystile/carrier/relay.py
@@ -1,5 +1,8 @@
 """Serve this process's copy of the store to other processes, with the store's own HTTP calls.
 
+Where the store has revisions, a relay has positions, so that its readers see a restoration of the
+store: the history of a new epoch begins above all earlier positions.
+
 A relay answers watches only while it reads the store directly: two relays that read from each
 other would both treat stale data as current. Lists are always served, marked as not current if
 need be, for processes that can't read the store.
@@ -55,8 +58,7 @@
     def restart(self, revision: int) -> None:
         """Restart the history at the revision of a list; watches from before it get 410."""
         self.history.clear()
-        self.oldest_revision = revision
-        self.revision = max(self.revision, revision)
+        self.oldest_revision = self.revision = revision
 
     def add_item(self, item: entries.Item) -> None:
         """Add a changed item to the copy and the history."""
--- a/src/ebonystile/carrier/report.py
+++ b/src/ebonystile/carrier/report.py
@@ -82,7 +82,7 @@
         )
         registry.tally("log_lines_left_out", "Lines not logged.", self.log.left_out, "event")
         registry.gauge("view_fresh", "1 while the view is current.", store_feed.is_current)
-        registry.gauge("store_epoch", "Epoch of the store.", lambda: store_feed.epoch or 0)
+        registry.gauge("store_epoch", "Epoch of the store.", lambda: store_feed.reader.epoch or 0)
         registry.gauge("configuration", "Version of the configuration.", store_feed.version)
         registry.gauge("upstreams", "Upstreams listed.", lambda: len(store_feed.fleet.upstreams))
         self.add_program_metrics(registry)
--- a/src/ebonystile/core/carrying/fleet.py
+++ b/src/ebonystile/core/carrying/fleet.py
@@ -30,7 +30,7 @@
 
     `address` is that of its sidecar. `started_at`, the time of its start in ms since the epoch,
     distinguishes incarnations of the same `name`. `slow_start_until` is the end of its slow start
-    in ms of this process's clock. `created_revision` is the store's revision that created the
+    in ms of this process's clock. `created_position` is the store's position that created the
     entry; it orders incarnations whose entries give no time of start.
     """
 
@@ -43,7 +43,7 @@
     leaving: bool
     slow_start_until: int
     key: int
-    created_revision: int = 0
+    created_position: int = 0
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -61,7 +61,7 @@
     *,
     leaving: bool = False,
     slow_start_until: int = 0,
-    created_revision: int = 0,
+    created_position: int = 0,
 ) -> Upstream:
     """Return an upstream with its ranking key.
 
@@ -78,7 +78,7 @@
         leaving,
         slow_start_until,
         key,
-        created_revision,
+        created_position,
     )
 
 
@@ -106,7 +106,7 @@
 
 def start_order(upstream: Upstream) -> tuple[int, int, str]:
     """Return the sort key that orders upstreams by their start, the oldest first."""
-    return (upstream.started_at, upstream.created_revision, upstream.name)
+    return (upstream.started_at, upstream.created_position, upstream.name)
 
 
 class Fleet:
--- a/src/ebonystile/core/carrying/reading.py
+++ b/src/ebonystile/core/carrying/reading.py
@@ -1,5 +1,9 @@
 """Schedule a process's reads and watches of the platform's store, and track if its view is current.
 
+Revisions are positions (`core.positions`). An answer of a later epoch shows that the store was
+restored from an older copy: all that was read of it may be changed or missing there, so everything
+is read again.
+
 The store is read once in full and then watched from the revision of the first page, so changes
 made while the pages were read are seen. At startup a stale read is enough, which costs a tenth of a
 consistent one: the watch that follows at once brings newer changes. Every call has a short timeout,
@@ -60,6 +64,7 @@
     A list continues after the key `after`; a watch waits for changes after `revision` until
     `wait_until`. The call has failed if it is not complete at `deadline`, or if no byte of the
     answer has arrived at `first_byte_by`. `allow_stale` permits a stale read, of some seconds ago.
+    `of_relay` is set if a relay is called.
     """
 
     kind: Kind
@@ -69,6 +74,7 @@
     wait_until: int = 0
     first_byte_by: int | None = None
     allow_stale: bool = False
+    of_relay: bool = False
 
 
 class Reader:
@@ -76,7 +82,8 @@
 
     `todo` are the pages still to be read, `complete` is set once all lists have been read, and
     `provisional` until a watch has confirmed that they are current. `recovered_at` is when a
-    call last succeeded after calls to the store had failed, in ms.
+    call last succeeded after calls to the store had failed, in ms. `epoch` is the latest epoch of
+    the store that an answer has shown.
     """
 
     def __init__(self, randomness: rng.Rng, now: int):
@@ -89,6 +96,7 @@
         self.provisional = False
         self.failing_since: int | None = None
         self.recovered_at = 0
+        self.epoch: int | None = None
         self.complete = False
         self.restart()
         self.allow_stale = True
@@ -113,14 +121,19 @@
             limit = RELAY_READ_TIMEOUT_MS if relay else READ_TIMEOUT_MS
             first_byte_by = now + FIRST_BYTE_TIMEOUT_MS
             return Call(
-                kind, now + limit, after, first_byte_by=first_byte_by, allow_stale=self.allow_stale
+                kind,
+                now + limit,
+                after,
+                first_byte_by=first_byte_by,
+                allow_stale=self.allow_stale,
+                of_relay=relay,
             )
         until = now + (RELAY_WATCH_WAIT_MS if relay else WATCH_WAIT_MS)
         if self.provisional:
             # The view may be stale until a watch has been answered, so this one must not wait.
             until = now
         margin = RELAY_WATCH_MARGIN_MS if relay else WATCH_MARGIN_MS
-        return Call(Kind.WATCH, until + margin, "", self.revision or 0, until)
+        return Call(Kind.WATCH, until + margin, "", self.revision or 0, until, of_relay=relay)
 
     def on_listed(self, revision: int, next_after: str, now: int, *, current: bool = True) -> None:
         """Record that a page of a list was read; `next_after` is its last key, empty at the end.
@@ -161,6 +174,26 @@
         self.restart()
         self.next_at = now
 
+    def is_earlier_epoch(self, epoch: int) -> bool:
+        """Return whether the store has been restored since an epoch."""
+        return self.epoch is not None and epoch < self.epoch
+
+    def note_epoch(self, epoch: int, now: int) -> bool:
+        """Record the epoch of an answer; return whether it shows a restoration of the store.
+
+        If it does, everything is read again, and the view is not current until that is done.
+        Entries that the copy lacks count as lost in an outage.
+        """
+        before, self.epoch = self.epoch, epoch
+        if before is None or epoch == before:
+            return False
+        self.on_answered(now)
+        self.recovered_at = now
+        self.restart()
+        self.provisional = True
+        self.next_at = now
+        return True
+
     def on_failed(self, now: int, *, store: bool = True, at_once: bool = False) -> None:
         """Record a failed call; `at_once` skips the pause, as another source can be asked now.
 
--- a/src/ebonystile/platform/entries.py
+++ b/src/ebonystile/platform/entries.py
@@ -23,7 +23,8 @@
 class Item(msgspec.Struct):
     """One item of the store; `tombstone` marks a deleted key. `value` is base64 in JSON.
 
-    `created` is the store's revision at which the key was created.
+    `created` is the store's revision at which the key was created. Both revisions are positions
+    once the answer is parsed, and in the answers of relays.
     """
 
     key: str
@@ -145,7 +146,7 @@
         body.max_concurrency,
         leaving=body.state == "draining",
         slow_start_until=now + int(body.warmup_left_ms) if body.warmup_left_ms else 0,
-        created_revision=item.created,
+        created_position=item.created,
     )
 
 
--- a/src/ebonystile/platform/store.py
+++ b/src/ebonystile/platform/store.py
@@ -1,9 +1,14 @@
-"""Build requests to the platform's store and parse its answers."""
+"""Build requests to the platform's store and parse its answers.
+
+Parsed answers hold positions in place of the store's revisions. A relay answers the same calls, but
+speaks in positions and sends no epoch, which is the same as epoch 0.
+"""
 
 import dataclasses
 import typing
 
 from ebonystile import errors
+from ebonystile.core import positions
 from ebonystile.core.carrying import reading
 from ebonystile.platform import entries
 
@@ -26,14 +31,15 @@
 """Header of each answer with the store's epoch, which rises by one each time that the store is
 restored from an older copy."""
 
-MAX_EPOCH_DIGITS = 9
+MAX_EPOCH_DIGITS = 7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
     """A page of a list; the next page begins after the key `next_after`, unless that is empty.
 
-    `current` is False if it comes from a relay that is not reading the store itself.
+    `revision` is the position at which it was read. `current` is False if it comes from a relay
+    that is not reading the store itself.
     """
 
     items: tuple[entries.Item, ...]
@@ -44,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Watched:
-    """The changes that a watch returned, complete up to `revision`."""
+    """The changes that a watch returned, complete up to the position `revision`."""
 
     items: tuple[entries.Item, ...]
     revision: int
@@ -66,7 +72,8 @@
         return f"{RANGE_PATH}?prefix={PREFIXES[call.kind]}{after}{allow_stale}"
     wait = max(0, call.wait_until - now)
     prefix = entries.ALL_PREFIX
-    return f"{WATCH_PATH}?prefix={prefix}&after={call.revision}&wait_ms={wait}"
+    after = call.revision if call.of_relay else positions.revision_of(call.revision)
+    return f"{WATCH_PATH}?prefix={prefix}&after={after}&wait_ms={wait}"
 
 
 def quote_key(key: str) -> str:
@@ -82,14 +89,18 @@
 def epoch_in(headers: typing.Mapping[str, str]) -> int:
     """Return the epoch in an answer's headers, 0 if there is none; raise `PlatformError`."""
     text = headers.get(EPOCH_HEADER, "0")
-    if not text.isascii() or not text.isdigit() or len(text) > MAX_EPOCH_DIGITS:
-        reason = f'"{text}" is not an epoch'
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_EPOCH_DIGITS
+    if not is_number or int(text) > positions.MAX_EPOCH:
+        reason = f'"{text}" is not a number from 0 to {positions.MAX_EPOCH}'
         raise errors.PlatformError(reason, step="read the store", peer="platform")
     return int(text)
 
 
-def parse_result(call: reading.Call, status: int, body: bytes) -> Result:
-    """Return the parsed answer of a call; raise `PlatformError` if it failed or is malformed."""
+def parse_result(call: reading.Call, status: int, body: bytes, epoch: int = 0) -> Result:
+    """Return the parsed answer of a call; raise `PlatformError` if it failed or is malformed.
+
+    `epoch` is the one in the answer's headers.
+    """
     if call.kind is reading.Kind.WATCH and status == GONE:
         return HistoryLost()
     if status != OK:
@@ -98,6 +109,16 @@
     if call.kind is not reading.Kind.WATCH:
         page = entries.decode(entries.PAGE_DECODER, body)
         more = page.items[-1].key if page.has_more and page.items else ""
-        return Listed(tuple(page.items), page.store_revision, more, page.current)
+        position = positions.make_position(epoch, page.store_revision)
+        return Listed(place_items(page.items, epoch), position, more, page.current)
     news = entries.decode(entries.WATCH_DECODER, body)
-    return Watched(tuple(news.events), news.store_revision)
+    position = positions.make_position(epoch, news.store_revision)
+    return Watched(place_items(news.events, epoch), position)
+
+
+def place_items(items: list[entries.Item], epoch: int) -> tuple[entries.Item, ...]:
+    """Replace the revisions of items by their positions in an epoch, and return the items."""
+    for item in items:
+        item.revision = positions.make_position(epoch, item.revision)
+        item.created = positions.make_position(epoch, item.created)
+    return tuple(items)
--- a/tests/carrier/test_feed.py
+++ b/tests/carrier/test_feed.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from ebonystile import clock, loop
+from ebonystile import clock, errors, loop
 from ebonystile.carrier import feed, journal
+from ebonystile.core import positions
 from ebonystile.core.carrying import reading
 from ebonystile.platform import entries, node, store
 
@@ -163,19 +164,31 @@
         return [fields for event, fields in self.events if event == name]
 
 
+def position(epoch, revision):
+    return positions.make_position(epoch, revision)
+
+
 def test_a_restored_store_and_what_is_passed_over_are_logged(store_feed):
     """Without these lines a change that was lost looks like one that never came."""
     store_feed.log = Logged()
-    store_feed.log_restoration(3, store.Watched((), 20))
-    apply_watch(store_feed, [configuration(20)], 20)
-    store_feed.log_restoration(4, store.Watched((), 15))
-    apply_watch(store_feed, [configuration(15, 2)], 15)
+    apply_watch(store_feed, [configuration(position(3, 20))], position(3, 20))
+    apply_watch(store_feed, [configuration(position(3, 19), 2)], position(3, 20))
+    apply_watch(store_feed, [], position(4, 15))
+    assert store_feed.log.fields_of("item_older") == [
+        {"key": "op/config", "revision": 19, "known_revision": 20}
+    ]
     assert store_feed.log.fields_of("store_restored") == [
-        {"epoch": 4, "before": 3, "revision": 15, "known_revision": 20}
+        {"epoch": 4, "before": 3, "revision": 15, "known_revision": 20, "source": "store"}
     ]
+
+
+def test_an_answer_from_before_a_restoration_is_refused(store_feed):
+    """A relay that has not read the restored store yet would bring back what was lost."""
+    store_feed.log = Logged()
+    apply_watch(store_feed, [], position(4, 15))
+    late = store.Watched((configuration(position(3, 20)),), position(3, 20))
+    with pytest.raises(errors.PlatformError):
+        store_feed.check_epoch(reading.Call(reading.Kind.WATCH, 0), late)
     assert store_feed.log.fields_of("answer_older") == [
-        {"source": "store", "revision": 15, "known_revision": 20}
-    ]
-    assert store_feed.log.fields_of("item_older") == [
-        {"key": "op/config", "revision": 15, "known_revision": 20}
+        {"source": "store", "epoch": 3, "known_epoch": 4}
     ]
--- a/tests/carrier/test_relay.py
+++ b/tests/carrier/test_relay.py
@@ -6,6 +6,7 @@
 
 from ebonystile import clock, loop
 from ebonystile.carrier import calls, relay
+from ebonystile.core import positions
 from ebonystile.core.carrying import reading
 from ebonystile.platform import entries, store
 
@@ -110,6 +111,16 @@
     assert isinstance(harness.result(), store.HistoryLost)
 
 
+def test_a_watch_from_before_a_restoration_gets_history_lost(harness):
+    """Its reader would otherwise wait for a revision that the restored store has yet to reach."""
+    fill(harness, revision=positions.make_position(1, 69))
+    fill(harness, revision=positions.make_position(2, 60))
+    harness.get(reading.Kind.WATCH, revision=positions.make_position(1, 69), of_relay=True)
+    assert isinstance(harness.result(), store.HistoryLost)
+    harness.get(reading.Kind.ENTRIES)
+    assert harness.result().revision == positions.make_position(2, 60)
+
+
 def test_a_relay_that_has_lost_the_store_refuses_watches_and_serves_its_list(harness):
     """Two relays that read from each other would treat stale data as current.
 
--- a/tests/carrying/test_fleet.py
+++ b/tests/carrying/test_fleet.py
@@ -50,7 +50,7 @@
     """An instance restarts before its old entry expires; the entries give no times of start."""
     for first, second in (("a", "b"), ("b", "a")):
         members = fleet.Fleet()
-        members.put(fleet.make_upstream(second, 0, "t", ADDRESS, "a", 2, created_revision=9))
-        members.put(fleet.make_upstream(first, 0, "s", ADDRESS, "a", 2, created_revision=4))
+        members.put(fleet.make_upstream(second, 0, "t", ADDRESS, "a", 2, created_position=9))
+        members.put(fleet.make_upstream(first, 0, "s", ADDRESS, "a", 2, created_position=4))
         assert names(members.upstreams_of("t")) == [second]
         assert names(members.upstreams_of("s")) == []
--- a/tests/carrying/test_reading.py
+++ b/tests/carrying/test_reading.py
@@ -2,6 +2,7 @@
 
 import random
 
+from ebonystile.core import positions
 from ebonystile.core.carrying import reading
 
 
@@ -126,3 +127,28 @@
     reader.on_watched(8, True, 100)
     assert reader.next_call(100) is None
     assert reader.next_call(100 + reading.CHANGE_PAUSE_MS) is not None
+
+
+def test_a_restored_store_is_read_again_before_the_view_is_current():
+    """Its copy may lack what was read before, so a flow that is not found may still be open."""
+    reader = make()
+    read_all(reader)
+    assert not reader.note_epoch(3, 5)
+    reader.on_watched(positions.make_position(3, 9), False, 5)
+    assert reader.is_current
+    assert reader.note_epoch(4, 10) and not reader.is_current
+    assert reader.is_earlier_epoch(3) and not reader.is_earlier_epoch(4)
+    assert reader.recovered_at == 10
+    assert not reader.next_call(10).allow_stale
+    read_all(reader, 10, positions.make_position(4, 2))
+    assert reader.is_current and not reader.note_epoch(4, 11)
+
+
+def test_a_list_that_a_restoration_interrupts_is_read_again_from_its_start():
+    """The pages of the two epochs would add up to a list that never was."""
+    reader = make()
+    reader.note_epoch(1, 0)
+    reader.on_listed(positions.make_position(1, 9), "", 0)
+    assert reader.note_epoch(2, 0)
+    read_all(reader, 0, positions.make_position(2, 7))
+    assert reader.next_call(0).revision == positions.make_position(2, 7)
--- a/tests/carrying/world.py
+++ b/tests/carrying/world.py
@@ -147,9 +147,9 @@
         former = self.entries[node.address]
         self.expiring_entries.append(former)
         node.upstream.restart()
-        name, created_revision = f"{former.name}-again", former.created_revision + 1
+        name, created_position = f"{former.name}-again", former.created_position + 1
         self.change_entry(
-            node, name=name, created_revision=created_revision, slow_start_until=self.now + warm_ms
+            node, name=name, created_position=created_position, slow_start_until=self.now + warm_ms
         )
         self.restart_sidecar(node)
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -486,7 +486,7 @@
     Mutation(
         "the newest of two entries at one address counts",
         CORE + "carrying/fleet.py",
-        "return (upstream.started_at, upstream.created_revision, upstream.name)",
+        "return (upstream.started_at, upstream.created_position, upstream.name)",
         "return (upstream.started_at, upstream.name)",
     ),
     Mutation(
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from ebonystile import errors
+from ebonystile.core import positions
 from ebonystile.core.carrying import packet, reading
 from ebonystile.platform import entries, store
 
@@ -179,3 +180,27 @@
     for malformed in ("", "-1", "1.5", "x", "9" * 30, "٣"):
         with pytest.raises(errors.PlatformError):
             store.epoch_in({"store-era": malformed})
+
+
+def test_positions_of_a_later_epoch_are_above_all_earlier_ones():
+    """Revisions of a restored store are lower than those of the changes that it has lost."""
+    body = {
+        "events": [{"key": "servers/a", "value": "e30=", "revision": 5, "created": 5}],
+        "store_revision": 6,
+    }
+    asked = call(reading.Kind.WATCH, revision=positions.make_position(1, 411), wait_until=5_000)
+    answer = json.dumps(body).encode()
+    result = store.parse_result(asked, 200, answer, epoch=2)
+    (changed,) = result.items
+    assert asked.revision < changed.revision == changed.created < result.revision
+    assert positions.epoch_of(result.revision) == 2 and positions.revision_of(result.revision) == 6
+    assert "&after=411&" in store.build_path(asked, 1_000)
+
+
+def test_relays_are_asked_and_answer_in_positions():
+    """Otherwise a reader would miss the changes that a restored store gives lower revisions."""
+    after = positions.make_position(2, 6)
+    asked = call(reading.Kind.WATCH, revision=after, wait_until=5_000, of_relay=True)
+    assert f"&after={after}&" in store.build_path(asked, 1_000)
+    answer = json.dumps({"events": [], "store_revision": after}).encode()
+    assert store.parse_result(asked, 200, answer).revision == after
