A restored store ends no drain at once, and takes back no upstream's leaving

What callers see: for some hundred ms up to two seconds after the store has come back from an older copy, new flows go to a zone that operators have drained, or to an upstream that has said it leaves and may end.

Cause: the copy is older than the drain or the announcement, and a complete list is taken for the whole truth. Entries that a list lacks had a grace period after an outage already; drains had none, and an entry that the copy holds in an older state replaced the newer one.

Change: a drain that the list of a restored store lacks ends after the same grace period of 2.3 s, within which it is written again, unless its end is written. The first entry read in a new epoch does not turn a leaving upstream back into one that takes flows; a later write in that epoch does.

--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -1,6 +1,7 @@
 """Read the store, or a relay of it, and keep routes, drained zones and upstreams up to date."""
 
 import collections
+import dataclasses
 import random
 import typing
 from collections import abc
@@ -221,7 +222,7 @@
         if result.next_after:
             return
         if call.kind is reading.Kind.CONFIGURATION:
-            self.end_unlisted_drains()
+            self.end_unlisted_drains(now)
             return
         self.drop_missing(now)
         self.sources.refresh(self.fleet)
@@ -263,10 +264,17 @@
         for name in self.forget_missing(entries.ENTRIES_PREFIX, self.fleet.upstreams):
             self.remove_upstream(name, "unlisted", now)
 
-    def end_unlisted_drains(self) -> None:
-        """End the drain of the zones that a complete list lacks."""
+    def end_unlisted_drains(self, now: int) -> None:
+        """End the drains that a complete list lacks.
+
+        A restored store may be older than a drain. It ends after a grace period then, or flows
+        would go to the zone until the drain is written again.
+        """
+        restored_at = self.reader.restored_at
+        keep_until = restored_at + fleet.RELIST_GRACE_MS if restored_at else 0
         for zone in self.forget_missing(entries.DRAINED_PREFIX, sorted(self.fleet.drained)):
-            self.end_drain(zone, self.list_revision)
+            at_once = self.fleet.end_drain(zone, now, keep_until)
+            self.log_change("zone_taken_back", self.list_revision, zone=zone, at_once=at_once)
 
     def apply_item(self, item: entries.Item, now: int) -> None:
         """Apply one item, unless a later revision of its key has been applied."""
@@ -284,9 +292,10 @@
         if item.key == entries.CONFIGURATION_KEY:
             self.apply_configuration(item)
         elif item.key.startswith(entries.DRAINED_PREFIX):
-            self.apply_drain(item)
+            self.apply_drain(item, now)
         elif item.key.startswith(entries.ENTRIES_PREFIX):
-            self.apply_entry(item, now)
+            is_new_epoch = positions.epoch_of(known) < positions.epoch_of(item.revision)
+            self.apply_entry(item, now, is_new_epoch=is_new_epoch)
 
     def apply_configuration(self, item: entries.Item) -> None:
         """Put a newer configuration in force; keep the old one if it is malformed."""
@@ -302,7 +311,7 @@
             routes_count = len(newer.by_endpoint)
             self.log_change("configured", item.revision, version=newer.version, routes=routes_count)
 
-    def apply_drain(self, item: entries.Item) -> None:
+    def apply_drain(self, item: entries.Item, now: int) -> None:
         """Start or end the drain of the zone that the key names; the value is ignored."""
         try:
             zone = entries.drained_zone_of(item.key)
@@ -311,20 +320,17 @@
             self.log_change("drain_malformed", item.revision, reason=str(error))
             return
         if item.tombstone:
-            self.end_drain(zone, item.revision)
-        elif zone not in self.fleet.drained:
-            self.fleet.drained.add(zone)
+            if self.fleet.end_drain(zone, now):
+                self.log_change("zone_taken_back", item.revision, zone=zone, at_once=True)
+        elif self.fleet.drain(zone):
             members = sum(u.zone == zone for u in self.fleet.by_address.values())
             self.log_change("zone_drained", item.revision, zone=zone, upstreams=members)
 
-    def end_drain(self, zone: str, position: int) -> None:
-        """End the drain of a zone, so that it gets new flows again."""
-        if zone in self.fleet.drained:
-            self.fleet.drained.remove(zone)
-            self.log_change("zone_taken_back", position, zone=zone)
+    def apply_entry(self, item: entries.Item, now: int, *, is_new_epoch: bool) -> None:
+        """Add, update or remove an upstream by its entry; a malformed entry removes it.
 
-    def apply_entry(self, item: entries.Item, now: int) -> None:
-        """Add, update or remove an upstream by its entry; a malformed entry removes it."""
+        `is_new_epoch` is set for the first entry read since the store was restored.
+        """
         name = item.key.removeprefix(entries.ENTRIES_PREFIX)
         if item.tombstone:
             self.remove_upstream(name, "entry_gone", now)
@@ -337,6 +343,9 @@
             self.fleet.remove(name, now)
             return
         before = self.fleet.upstreams.get(name)
+        if is_new_epoch and before is not None and before.leaving:
+            # A restored store may be older than the announcement, and an upstream stays leaving.
+            upstream = dataclasses.replace(upstream, leaving=True)
         self.fleet.put(upstream)
         if before is None or (before.started_at, before.leaving) != (
             upstream.started_at,
--- a/src/ebonystile/core/carrying/fleet.py
+++ b/src/ebonystile/core/carrying/fleet.py
@@ -10,10 +10,10 @@
 from ebonystile.core import view
 
 RELIST_GRACE_MS = 2_300
-"""How long entries lost in an outage of the store are kept after its return, in ms.
+"""How long entries and drains lost in an outage of the store are kept after its return, in ms.
 
-A running upstream publishes its entry again within about 2 s of the return. Dropping the entries
-earlier would cut callers off from upstreams that work.
+They are written again within about 2 s of the return. Dropping the entries earlier would cut
+callers off from upstreams that work.
 """
 
 UNLISTED_TTL_MS, MAX_UNLISTED = 60_000, 256
@@ -113,12 +113,13 @@
     """The known upstreams by name, the drained availability zones, and the region of each zone.
 
     `expiring` holds the time in ms at which an upstream without an entry is dropped,
-    `unlisted_until` the dropped ones that may still be running. `added_count` counts the upstreams
-    added.
+    `drains_ending` that at which the drain of a zone ends, `unlisted_until` the dropped ones that
+    may still be running. `added_count` counts the upstreams added.
     """
 
     def __init__(self) -> None:
         self.drained: set[str] = set()
+        self.drains_ending: dict[str, int] = {}
         self.regions: dict[str, str] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.expiring: dict[str, int] = {}
@@ -126,6 +127,27 @@
         self.cached_index: Index | None = None
         self.added_count = 0
 
+    def drain(self, zone: str) -> bool:
+        """Drain a zone; return whether it was not drained before."""
+        self.drains_ending.pop(zone, None)
+        is_new = zone not in self.drained
+        self.drained.add(zone)
+        return is_new
+
+    def end_drain(self, zone: str, now: int, keep_until: int = 0) -> bool:
+        """End the drain of a zone; return whether it has ended.
+
+        If `keep_until` is later than `now`, the zone stays drained until that time in ms.
+        """
+        if zone not in self.drained:
+            return False
+        if keep_until > now:
+            self.drains_ending.setdefault(zone, keep_until)
+            return False
+        self.drained.remove(zone)
+        self.drains_ending.pop(zone, None)
+        return True
+
     def put(self, upstream: Upstream) -> None:
         """Add an upstream by its published entry, or update it."""
         self.expiring.pop(upstream.name, None)
@@ -157,8 +179,10 @@
             self.unlisted_until[upstream.address] = (upstream, until)
 
     def expire(self, now: int) -> list[str]:
-        """Remove the upstreams whose grace period is over; return their names."""
+        """Remove upstreams and end drains whose grace period is over; return the upstreams."""
         self.unlisted_until = {a: d for a, d in self.unlisted_until.items() if d[1] > now}
+        for zone in [zone for zone, until in self.drains_ending.items() if until <= now]:
+            self.end_drain(zone, now)
         over = [name for name, until in self.expiring.items() if until <= now]
         for name in over:
             self.remove(name, now)
--- a/src/ebonystile/core/carrying/reading.py
+++ b/src/ebonystile/core/carrying/reading.py
@@ -83,7 +83,8 @@
     `todo` are the pages still to be read, `complete` is set once all lists have been read, and
     `provisional` until a watch has confirmed that they are current. `recovered_at` is when a
     call last succeeded after calls to the store had failed, in ms. `epoch` is the latest epoch of
-    the store that an answer has shown.
+    the store that an answer has shown, `restored_at` when it was first seen, in ms, 0 for the first
+    epoch.
     """
 
     def __init__(self, randomness: rng.Rng, now: int):
@@ -97,6 +98,7 @@
         self.failing_since: int | None = None
         self.recovered_at = 0
         self.epoch: int | None = None
+        self.restored_at = 0
         self.complete = False
         self.restart()
         self.allow_stale = True
@@ -188,7 +190,7 @@
         if before is None or epoch == before:
             return False
         self.on_answered(now)
-        self.recovered_at = now
+        self.recovered_at = self.restored_at = now
         self.restart()
         self.provisional = True
         self.next_at = now
--- a/tests/carrier/test_feed.py
+++ b/tests/carrier/test_feed.py
@@ -9,7 +9,7 @@
 from ebonystile import clock, errors, loop
 from ebonystile.carrier import feed, journal
 from ebonystile.core import positions
-from ebonystile.core.carrying import reading
+from ebonystile.core.carrying import fleet, reading
 from ebonystile.platform import entries, node, store
 
 DRAINED = "op/evacuate/umea"
@@ -39,13 +39,13 @@
     return item("op/config", revision, {"version": version, "routes": []})
 
 
-def entry(name, revision):
+def entry(name, revision, state="ready"):
     body = {
         "service": "s",
         "address": "127.0.0.9:80",
         "zone": "umea",
         "max_concurrency": 2,
-        "state": "ready",
+        "state": state,
     }
     return item(f"servers/{name}", revision, body)
 
@@ -192,3 +192,51 @@
     assert store_feed.log.fields_of("answer_older") == [
         {"source": "store", "epoch": 3, "known_epoch": 4}
     ]
+
+
+def apply_restored_lists(store_feed, operators=(), upstreams=(), revision=15):
+    """Apply the lists of a store that came back in epoch 2 at this revision."""
+    apply_watch(store_feed, [], position(2, revision))
+    apply_operators_list(store_feed, list(operators), position(2, revision))
+    apply_upstreams_list(store_feed, list(upstreams), position(2, revision))
+
+
+def test_a_restored_store_does_not_end_a_drain_that_is_written_again_shortly(store_feed):
+    """Its copy is older than the drain; flows would go to the zone for a moment."""
+    apply_watch(store_feed, [item(DRAINED, position(1, 20))], position(1, 20))
+    apply_restored_lists(store_feed, [configuration(position(2, 5))])
+    assert store_feed.fleet.drained == {"umea"}
+    apply_watch(store_feed, [item(DRAINED, position(2, 16))], position(2, 16))
+    store_feed.fleet.expire(clock.now() + 10 * fleet.RELIST_GRACE_MS)
+    assert store_feed.fleet.drained == {"umea"}
+
+
+def test_a_drain_that_a_restored_store_has_lost_ends_unless_it_is_written_again(store_feed):
+    apply_watch(store_feed, [item(DRAINED, position(1, 20))], position(1, 20))
+    apply_restored_lists(store_feed, [configuration(position(2, 5))])
+    store_feed.fleet.expire(clock.now() + fleet.RELIST_GRACE_MS + 1_000)
+    assert store_feed.fleet.drained == set()
+
+
+def test_a_drain_ended_after_a_restoration_ends_at_once(store_feed):
+    apply_watch(store_feed, [item(DRAINED, position(1, 20))], position(1, 20))
+    apply_restored_lists(store_feed)
+    apply_watch(store_feed, [tombstone_of(DRAINED, position(2, 16))], position(2, 16))
+    assert store_feed.fleet.drained == set()
+
+
+def test_a_restored_store_does_not_take_back_that_an_upstream_leaves(store_feed):
+    """Its copy is older than the announcement; the upstream may end before it writes again."""
+    apply_watch(store_feed, [entry("u1", position(1, 20), "draining")], position(1, 20))
+    apply_restored_lists(store_feed, upstreams=[entry("u1", position(2, 5))])
+    assert store_feed.fleet.upstreams["u1"].leaving
+    apply_watch(store_feed, [entry("u1", position(2, 16))], position(2, 16))
+    assert not store_feed.fleet.upstreams["u1"].leaving
+
+
+def test_an_upstream_that_a_restored_store_has_lost_is_kept_until_it_writes_again(store_feed):
+    apply_watch(store_feed, [entry("u1", position(1, 20))], position(1, 20))
+    apply_restored_lists(store_feed)
+    assert list(store_feed.fleet.upstreams) == ["u1"]
+    store_feed.fleet.expire(clock.now() + fleet.RELIST_GRACE_MS + 1_000)
+    assert not store_feed.fleet.upstreams
