A start from a stale list survives a restoration of the store

What callers see: a balancer that starts within seconds of a restoration keeps the routes and upstreams of changes that the store has lost, and misses the next changes, until their revisions have passed the lost ones.

Cause: a starting process reads a list that may be some seconds old. Where it is from before the restoration but bears the new epoch, its revisions are above those of the store, which gives them out again. The first watch goes to a relay, and a relay answered a watch from above its own revision with that revision, so it confirmed what the store never had.

Change: revisions of a stale read are not recorded, so any later read of the key applies. A relay answers a watch that is still ahead of it at its deadline with 410, as the store does.

Evidence: test_a_start_from_a_stale_list_of_lost_changes_gets_later_ones failed before: the late balancer stayed at version 6 while the others had 7. Both halves are needed for it.

Seven mutants take the safeguards of the restoration out one by one.

--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -207,7 +207,7 @@
         if self.note_epoch(result.revision, now):
             return
         for item in result.items:
-            self.apply_item(item, now)
+            self.apply_item(item, now, is_stale=call.allow_stale)
         if isinstance(result, store.Watched):
             from_relay = self.source is not sourcing.STORE
             self.reader.on_watched(result.revision, bool(result.items), now, relay=from_relay)
@@ -276,8 +276,12 @@
             at_once = self.fleet.end_drain(zone, now, keep_until)
             self.log_change("zone_taken_back", self.list_revision, zone=zone, at_once=at_once)
 
-    def apply_item(self, item: entries.Item, now: int) -> None:
-        """Apply one item, unless a later revision of its key has been applied."""
+    def apply_item(self, item: entries.Item, now: int, *, is_stale: bool) -> None:
+        """Apply one item, unless a later revision of its key has been applied.
+
+        The revision of a stale read is not recorded: the store may have lost it in a restoration
+        and given it out again.
+        """
         known = self.revisions.get(item.key, 0)
         if item.revision <= known:
             if item.revision < known:
@@ -287,7 +291,8 @@
                     "item_older", item.revision, key=item.key, known_revision=known_revision
                 )
             return
-        self.revisions[item.key] = item.revision
+        if not is_stale:
+            self.revisions[item.key] = item.revision
         self.relay.add_item(item)
         if item.key == entries.CONFIGURATION_KEY:
             self.apply_configuration(item)
--- a/src/ebonystile/carrier/relay.py
+++ b/src/ebonystile/carrier/relay.py
@@ -90,7 +90,7 @@
         self.pending_watches = [w for w in self.pending_watches if direct and w.deadline > now]
         for watch in ended:
             watch.connection.answer(
-                self.changes_since(watch.revision) if direct else pages.Response(503)
+                self.final_answer(watch.revision) if direct else pages.Response(503)
             )
 
     def on_request(self, connection: pages.Connection, target: str) -> None:
@@ -128,10 +128,20 @@
             return self.changes_since(revision)
         return None
 
+    def final_answer(self, revision: int) -> pages.Response:
+        """Return the answer to a watch from this revision at its deadline.
+
+        A reader that is still ahead may have read changes that the store has lost in a restoration.
+        Like the store, the relay answers that it doesn't have the revision.
+        """
+        if revision > self.revision:
+            return pages.Response(410)
+        return self.changes_since(revision)
+
     def changes_since(self, revision: int) -> pages.Response:
         """Return the answer with the changes after a revision."""
         changed = [item for item in self.history if item.revision > revision]
-        return json_response(entries.WatchEvents(changed, max(revision, self.revision)))
+        return json_response(entries.WatchEvents(changed, self.revision))
 
     def list_page(self, prefix: str, after: str) -> pages.Response:
         """Return a page of the items whose keys begin with `prefix` and sort behind `after`."""
--- a/tests/carrier/test_relay.py
+++ b/tests/carrier/test_relay.py
@@ -121,6 +121,14 @@
     assert harness.result().revision == positions.make_position(2, 60)
 
 
+def test_a_watch_from_a_revision_that_the_relay_never_reaches_gets_history_lost(harness):
+    """Its reader began with changes that the store has lost, and would miss later ones."""
+    fill(harness)
+    harness.get(reading.Kind.WATCH, revision=12)
+    harness.step_until(lambda: harness.relay.pending_watches)
+    assert isinstance(harness.result(), store.HistoryLost)
+
+
 def test_a_relay_that_has_lost_the_store_refuses_watches_and_serves_its_list(harness):
     """Two relays that read from each other would treat stale data as current.
 
--- a/tests/carrier/test_restored.py
+++ b/tests/carrier/test_restored.py
@@ -9,7 +9,12 @@
 from ebonystile.platform import node
 from standins import store
 
-RELAY_HOST, READER_HOST, UPSTREAM_HOST = "127.0.0.2", "127.0.0.3", "127.0.0.9"
+RELAY_HOST, READER_HOST, LATE_HOST, UPSTREAM_HOST = (
+    "127.0.0.2",
+    "127.0.0.3",
+    "127.0.0.4",
+    "127.0.0.9",
+)
 
 IN_FORCE_MS = 3_000
 """Time within which a confirmed change has to be in force."""
@@ -35,7 +40,7 @@
         self.configure()
         self.direct = self.make_feed("sidecar", RELAY_HOST)
         self.relayed = self.make_feed("balancer", READER_HOST)
-        self.feeds = (self.direct, self.relayed)
+        self.feeds = [self.direct, self.relayed]
         self.step_until(lambda: self.relayed.source == (RELAY_HOST, self.port))
 
     def make_feed(self, role, host):
@@ -105,3 +110,20 @@
     assert readers.store.revision < lost_revision
     readers.step_until_configured()
     readers.step_until(lambda: readers.is_leaving("u1"))
+
+
+def test_a_start_from_a_stale_list_of_lost_changes_gets_later_ones(readers):
+    """The list has higher revisions than the restored store, which gives them out again."""
+    readers.store.back_up()
+    for _ in range(5):
+        readers.configure()
+    readers.put_upstream("u2", UPSTREAM_HOST, "other")
+    readers.store.age()
+    readers.store.restore()
+    readers.feeds.append(readers.make_feed("balancer", LATE_HOST))
+    readers.configure(readers.version)
+    readers.configure()
+    readers.put_upstream("u1", UPSTREAM_HOST, "other", "draining")
+    readers.step_until_configured()
+    readers.step_until(lambda: readers.is_leaving("u1"))
+    assert "u2" not in readers.feeds[-1].fleet.upstreams
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -30,6 +30,9 @@
     "tests/carrying/test_drained.py",
     "tests/carrying/test_warming.py",
     "tests/carrier/test_feed.py",
+    "tests/carrier/test_relay.py",
+    "tests/carrier/test_restored.py",
+    "tests/platform/test_entries.py",
 )
 """The tests that must notice, the quickest first: of the product's calls and of carried flows."""
 
@@ -666,7 +669,7 @@
     Mutation(
         "the end of a drain is seen in the next list",
         "src/ebonystile/carrier/feed.py",
-        "            self.end_unlisted_drains()\n",
+        "            self.end_unlisted_drains(now)\n",
         "",
     ),
     Mutation(
@@ -717,5 +720,47 @@
         "    unknown = [u for u in unknown if state.fleet.is_in_regions(u.zone, regions)]\n",
         "",
     ),
+    Mutation(
+        "a restored store is read again",
+        CORE + "carrying/reading.py",
+        "if before is None or epoch == before:",
+        "if True:",
+    ),
+    Mutation(
+        "an answer from before a restoration is refused",
+        "src/ebonystile/carrier/feed.py",
+        "if self.reader.is_earlier_epoch(epoch):",
+        "if False:",
+    ),
+    Mutation(
+        "a drain lost in a restoration is kept for a while",
+        "src/ebonystile/carrier/feed.py",
+        "keep_until = restored_at + fleet.RELIST_GRACE_MS if restored_at else 0",
+        "keep_until = 0",
+    ),
+    Mutation(
+        "a leaving upstream stays so over a restoration",
+        "src/ebonystile/carrier/feed.py",
+        "if is_new_epoch and before is not None and before.leaving:",
+        "if False:",
+    ),
+    Mutation(
+        "a stale read sets no revision",
+        "src/ebonystile/carrier/feed.py",
+        "        if not is_stale:\n            self.revisions",
+        "        if True:\n            self.revisions",
+    ),
+    Mutation(
+        "a relay confirms no revision that it lacks",
+        "src/ebonystile/carrier/relay.py",
+        "        if revision > self.revision:\n",
+        "        if False:\n",
+    ),
+    Mutation(
+        "upstreams that a restored store lacks are kept for a while",
+        CORE + "carrying/reading.py",
+        "self.recovered_at = self.restored_at = now",
+        "self.restored_at = now",
+    ),
 )
 """Every safeguard that has a proof; docs/PROMISES.md tells which promise each serves."""
