--- a/tests/carrier/test_feed.py
+++ b/tests/carrier/test_feed.py
@@ -170,7 +170,7 @@
 
 def test_a_restored_store_and_what_is_passed_over_are_logged(store_feed):
     """Without these lines a change that was lost looks like one that never came."""
-    store_feed.log = Logged()
+    store_feed.log = store_feed.contents.log = Logged()
     apply_watch(store_feed, [configuration(position(3, 20))], position(3, 20))
     apply_watch(store_feed, [configuration(position(3, 19), 2)], position(3, 20))
     apply_watch(store_feed, [], position(4, 15))
@@ -184,7 +184,7 @@
 
 def test_an_answer_from_before_a_restoration_is_refused(store_feed):
     """A relay that has not read the restored store yet would bring back what was lost."""
-    store_feed.log = Logged()
+    store_feed.log = store_feed.contents.log = Logged()
     apply_watch(store_feed, [], position(4, 15))
     late = store.Watched((configuration(position(3, 20)),), position(3, 20))
     with pytest.raises(errors.PlatformError):
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -662,14 +662,14 @@
     ),
     Mutation(
         "an older list takes nothing back",
-        "src/ebonystile/carrier/feed.py",
-        "if key in self.listed_keys or self.revisions.get(key, 0) > self.list_revision:",
+        "src/ebonystile/carrier/contents.py",
+        "if key in self.listed_keys or self.positions_by_key.get(key, 0) > self.list_position:",
         "if key in self.listed_keys:",
     ),
     Mutation(
         "the end of a drain is seen in the next list",
         "src/ebonystile/carrier/feed.py",
-        "            self.end_unlisted_drains(now)\n",
+        "            self.contents.end_unlisted_drains(now)\n",
         "",
     ),
     Mutation(
@@ -734,21 +734,21 @@
     ),
     Mutation(
         "a drain lost in a restoration is kept for a while",
-        "src/ebonystile/carrier/feed.py",
+        "src/ebonystile/carrier/contents.py",
         "keep_until = restored_at + fleet.RELIST_GRACE_MS if restored_at else 0",
         "keep_until = 0",
     ),
     Mutation(
         "a leaving upstream stays so over a restoration",
-        "src/ebonystile/carrier/feed.py",
+        "src/ebonystile/carrier/contents.py",
         "if is_new_epoch and before is not None and before.leaving:",
         "if False:",
     ),
     Mutation(
         "a stale read sets no revision",
-        "src/ebonystile/carrier/feed.py",
-        "        if not is_stale:\n            self.revisions",
-        "        if True:\n            self.revisions",
+        "src/ebonystile/carrier/contents.py",
+        "        if not is_stale:\n            self.positions",
+        "        if True:\n            self.positions",
     ),
     Mutation(
         "a relay confirms no revision that it lacks",
