Own interface: a platform that is restored from an older copy is followed

What operators see: after a restore of the platform from a backup, changed documents are not in force in any process until the platform's revision has passed the former one.

Cause: values, instances, digests, pulls and the seal's revision were ordered by a counter that a restored platform sets back. The class again: an order taken from a counter that can go back.

Change: the platform states an epoch (0 if left out), and epoch and revision form one position, as in the carrier.

The stand-in of the platform and the in-memory fleet play it.

--- a/benches/fleet.py
+++ b/benches/fleet.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from ebonystile.core import positions
 from ebonystile.core.control import assembly, configuration, gossip, gossip_state, pulling, store
 from ebonystile.peer import control
 
@@ -25,19 +26,38 @@
 
 
 class Log:
-    """The newest versions of a stream by key, under one rising revision."""
+    """The newest versions of a stream by key; `revision` is the position of the latest change."""
 
     def __init__(self) -> None:
         self.revision = 0
         self.entries: dict[str, store.Entry] = {}
+        self.backup: tuple[int, dict[str, store.Entry]] = (0, {})
 
     def put(self, key: str, value: typing.Any) -> None:
         """Publish a value; None deletes the key."""
         self.revision += 1
         self.entries[key] = store.Entry(self.revision, value)
 
+    def back_up(self) -> None:
+        """Keep a copy of the current state."""
+        self.backup = (self.revision, dict(self.entries))
+
+    def restore(self) -> None:
+        """Go back to the copy, in a new epoch."""
+        epoch = positions.epoch_of(self.revision) + 1
+        revision, entries = self.backup
+        self.revision = self.in_epoch(epoch, revision)
+        self.entries = {
+            key: store.Entry(self.in_epoch(epoch, entry.revision), entry.value)
+            for key, entry in entries.items()
+        }
+
+    def in_epoch(self, epoch: int, position: int) -> int:
+        """Return the position of the same revision in another epoch."""
+        return positions.make_position(epoch, positions.revision_of(position))
+
     def delta(self, after: int, ceiling: int) -> store.Delta:
-        """Return what follows a revision, as the platform would show it."""
+        """Return what follows a position, as the platform would show it."""
         revision = min(self.revision, ceiling)
         entries = [(k, e) for k, e in self.entries.items() if after < e.revision <= revision]
         entries.sort(key=lambda item: item[1].revision)
@@ -133,9 +153,24 @@
         self.publish("values", key, configuration.pack_value(value))
         return self.streams["values"].revision
 
+    def back_up(self) -> None:
+        """Keep a copy of the platform's state."""
+        for log in self.streams.values():
+            log.back_up()
+
+    def restore(self) -> None:
+        """Let the platform come back from the copy; the watches that wait are answered."""
+        for log in self.streams.values():
+            log.restore()
+        self.answer_waiting()
+
     def publish(self, stream: str, key: str, value: typing.Any) -> None:
         """Publish a value and let the watches that wait for it go."""
         self.streams[stream].put(key, value)
+        self.answer_waiting()
+
+    def answer_waiting(self) -> None:
+        """Let the watches that wait go."""
         waiting, self.waiting = self.waiting, []
         for node, call in waiting:
             self.answer(node, call)
@@ -281,6 +316,8 @@
             event = gossip.PlatformFailed(call.stream)
         else:
             delta = self.streams[call.stream].delta(call.after, node.ceiling)
+            if call.whole:
+                delta = configuration.as_snapshot(delta)
             event = gossip.PlatformRead(call.stream, delta, False)
         self.at(self.now + 3, self.post, node, event)
 
--- a/src/ebonystile/core/control/configuration.py
+++ b/src/ebonystile/core/control/configuration.py
@@ -4,6 +4,9 @@
 revisions. Each key keeps its accepted value of the highest revision, so an older answer from a
 stale replica or peer changes nothing. A value that fails validation is refused as a whole: the
 older value stays in force, and the refusal and its faults are kept for operators.
+
+Revisions are positions (`core.positions`), so the state of a platform that was restored from an
+older copy is above all that was read before.
 """
 
 import dataclasses
@@ -12,7 +15,7 @@
 import zlib
 
 from ebonystile import errors
-from ebonystile.core import view
+from ebonystile.core import positions, view
 from ebonystile.core.control import assembly, store
 from ebonystile.platform import documents
 
@@ -46,6 +49,11 @@
         """Return whether `other` is complete up to a higher revision in either part."""
         return other.values > self.values or other.instances > self.instances
 
+    @property
+    def newest(self) -> int:
+        """The higher of the two revisions."""
+        return max(self.values, self.instances)
+
     def merge(self, other: "Digest") -> "Digest":
         """Return the higher revision of each part."""
         return Digest(max(self.values, other.values), max(self.instances, other.instances))
@@ -130,6 +138,13 @@
     return store.Delta(after, revision, 0, entries)
 
 
+def as_snapshot(delta: store.Delta) -> store.Delta:
+    """Return the delta of a complete read, which shows what an earlier epoch had and this lacks."""
+    names = tuple(key for key, entry in delta.entries if entry.value is not None)
+    first = positions.make_position(positions.epoch_of(delta.complete_revision), 0)
+    return dataclasses.replace(delta, after=0, floor=first, names=names)
+
+
 class Configuration:
     """The accepted values, the refusals, the list of instances, and the view built from them."""
 
--- a/src/ebonystile/core/control/gossip.py
+++ b/src/ebonystile/core/control/gossip.py
@@ -174,6 +174,10 @@
 
 @on_event.register
 def _(event: PlatformRead, state, now):
+    may_read = state.may_read(event.delta.complete_revision, now)
+    if not may_read or watching.is_new_epoch(state, event.stream, event.delta):
+        watching.on_restored(state, event.stream, event.delta, now)
+        return
     before = state.configuration.digest
     older = event.delta.complete_revision < watching.known_revision(state, event.stream)
     if event.stream == watching.VALUES:
--- a/src/ebonystile/core/control/gossip_state.py
+++ b/src/ebonystile/core/control/gossip_state.py
@@ -7,7 +7,7 @@
 import dataclasses
 import typing
 
-from ebonystile.core import budget, rng, view
+from ebonystile.core import budget, positions, rng, view
 from ebonystile.core.calls import effects
 from ebonystile.core.control import configuration, membership
 from ebonystile.peer import control
@@ -23,6 +23,11 @@
 PEERS_REFRESH_MS = 5_000
 """Minimum interval between two rebuilds of the lists of peers, in ms."""
 
+RESTORED_GRACE_MS = 2_500
+"""How long a new epoch of the platform is not read, in ms. The platform was restored from an older
+copy, and what the copy lacks is written again meanwhile; a process that read the copy at once would
+go back to older documents."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
@@ -86,11 +91,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchPlatform:
-    """Ask the platform for the changes after a revision; it may wait for one until `wait_until`."""
+    """Ask the platform for the changes after a revision; it may wait for one until `wait_until`.
+
+    If `whole`, all pages are read, for a snapshot.
+    """
 
     stream: str
     after: int
     wait_until: int
+    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +128,8 @@
 class Stream:
     """The calls for one of the platform's two streams; at most one runs at a time.
 
-    `confirmed_at` is when the platform last answered with a revision not below the known one.
+    `confirmed_at` is when the platform last answered with a revision not below the known one. If
+    `is_restored`, the next call reads the whole stream, as the platform was restored.
     """
 
     name: str
@@ -128,6 +138,7 @@
     next_at: int = 0
     failures: int = 0
     confirmed_at: int = 0
+    is_restored: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -170,7 +181,8 @@
     a peer arrived. `exchange_at`, `push_at`, `pull_at` and the like are when that action is due
     next. `peers_ahead` maps the addresses of peers with higher revisions to those revisions.
     `indirect_probes` maps the name of a process probed on behalf of another to the address of that
-    other and a deadline.
+    other and a deadline. `new_epoch` is the latest epoch of the platform that an answer or a peer
+    has shown, and `new_epoch_at` when it may be read, in ms.
     """
 
     membership: membership.Membership
@@ -202,6 +214,8 @@
     peers_ahead: dict[view.Address, configuration.Digest] = dataclasses.field(default_factory=dict)
     pull_at: int = 0
     pull: PendingPull | None = None
+    new_epoch: int = 0
+    new_epoch_at: int = 0
     probes: dict[int, Probe] = dataclasses.field(default_factory=dict)
     indirect_probes: dict[str, tuple[view.Address, int]] = dataclasses.field(default_factory=dict)
     catch_up: CatchUp | None = None
@@ -227,6 +241,17 @@
         """Append an effect that records an event for the log and the timeline."""
         self.pending.append(effects.Trace(event, fields=tuple(fields.items())))
 
+    def may_read(self, position: int, now: int) -> bool:
+        """Return whether a position may be read; one of a new epoch only after a grace period."""
+        digest = self.configuration.digest
+        epoch, known = positions.epoch_of(position), positions.epoch_of(digest.newest)
+        if epoch <= known or not digest.newest:
+            return True
+        if epoch > self.new_epoch:
+            self.new_epoch, self.new_epoch_at = epoch, now + RESTORED_GRACE_MS
+            self.trace("platform_restored", epoch=epoch, before=known)
+        return now >= self.new_epoch_at
+
     def jitter(self, span: int) -> int:
         """Return a random time from 0 up to `span` ms."""
         return int(self.randomness.random() * span)
--- a/src/ebonystile/core/control/pulling.py
+++ b/src/ebonystile/core/control/pulling.py
@@ -49,8 +49,8 @@
     own = state.configuration.digest
     for address in [a for a, digest in state.peers_ahead.items() if not own.is_behind(digest)]:
         del state.peers_ahead[address]
-    if state.peers_ahead:
-        addresses = list(state.peers_ahead)
+    addresses = [a for a, d in state.peers_ahead.items() if state.may_read(d.newest, now)]
+    if addresses:
         start_pull(state, addresses[state.randomness.randrange(len(addresses))], now)
 
 
@@ -98,6 +98,10 @@
     now: int,
 ) -> None:
     """Apply an update, even a late one: merging never reverts an entry."""
+    revision = max(update.values.complete_revision, update.instances.complete_revision)
+    if not state.may_read(revision, now):
+        on_failed(state, reply.nonce, now)
+        return
     before = state.configuration.digest
     changes = state.configuration.apply(update)
     if changes or state.configuration.digest != before:
--- a/src/ebonystile/core/control/watching.py
+++ b/src/ebonystile/core/control/watching.py
@@ -12,6 +12,7 @@
 
 import xxhash
 
+from ebonystile.core import positions
 from ebonystile.core.control import gossip_state, store
 
 VALUES, INSTANCES = "values", "instances"
@@ -109,11 +110,12 @@
 def start_call(
     state: gossip_state.GossipState, stream: gossip_state.Stream, wait: int, now: int
 ) -> None:
-    """Ask the platform for the changes after the known revision."""
+    """Ask the platform for the changes after the known revision, or for all if it was restored."""
     stream.called_at = now
     stream.call_deadline = now + wait + state.limits.call_margin_ms
+    after = 0 if stream.is_restored else known_revision(state, stream.name)
     state.pending.append(
-        gossip_state.WatchPlatform(stream.name, known_revision(state, stream.name), now + wait)
+        gossip_state.WatchPlatform(stream.name, after, now + wait, whole=stream.is_restored)
     )
 
 
@@ -123,6 +125,23 @@
     return digest.values if name == VALUES else digest.instances
 
 
+def is_new_epoch(state: gossip_state.GossipState, name: str, delta: store.Delta) -> bool:
+    """Return whether a partial answer is of a later epoch than what is known of the stream."""
+    known = known_revision(state, name)
+    later = positions.epoch_of(delta.complete_revision) > positions.epoch_of(known)
+    return bool(known) and later and delta.names is None
+
+
+def on_restored(state: gossip_state.GossipState, name: str, delta: store.Delta, now: int) -> None:
+    """Schedule a call for the whole stream, after the grace period of the new epoch."""
+    stream = state.streams[name]
+    stream.call_deadline = 0
+    stream.failures = 0
+    stream.is_restored = True
+    due = now if state.may_read(delta.complete_revision, now) else state.new_epoch_at
+    stream.next_at = due
+
+
 def on_read(
     state: gossip_state.GossipState, name: str, delta: store.Delta, more: bool, now: int
 ) -> None:
@@ -138,6 +157,7 @@
         return
     stream.call_deadline = 0
     stream.failures = 0
+    stream.is_restored = False
     gap = state.limits.call_gap_ms if name == VALUES else state.limits.instances_gap_ms
     stream.next_at = now if more else max(now, stream.called_at + gap)
     if more:
--- a/src/ebonystile/core/positions.py
+++ b/src/ebonystile/core/positions.py
@@ -21,6 +21,12 @@
     return (epoch << REVISION_BITS) + revision
 
 
+def text_of(position: int) -> str:
+    """Return a position for operators: the revision, after the epoch if that is not 0."""
+    epoch, revision = epoch_of(position), revision_of(position)
+    return f"{epoch}:{revision}" if epoch else str(revision)
+
+
 def epoch_of(position: int) -> int:
     """Return the epoch of a position."""
     return position >> REVISION_BITS
--- a/src/ebonystile/daemon/control.py
+++ b/src/ebonystile/daemon/control.py
@@ -15,9 +15,17 @@
 from collections import abc
 
 from ebonystile import clock, errors, logs, loop, settings
-from ebonystile.core import view
+from ebonystile.core import positions, view
 from ebonystile.core.calls import effects
-from ebonystile.core.control import assembly, configuration, gossip, gossip_state, pulling, watching
+from ebonystile.core.control import (
+    assembly,
+    configuration,
+    gossip,
+    gossip_state,
+    pulling,
+    store,
+    watching,
+)
 from ebonystile.peer import bulk, control, seal
 from ebonystile.platform import client
 
@@ -28,6 +36,9 @@
 """Major type of a CBOR array (RFC 8949); no message of the packet path starts with it."""
 
 TICK_MS = 100
+WHOLE_READ_MS = 1_000
+"""How long after its wait a whole read may begin further pages, in ms; the core gives it 3 s."""
+
 PULL_TIMEOUT_S = 2
 """Longest time for which a peer's pull waits for the owner thread, in seconds."""
 
@@ -36,6 +47,7 @@
     "superseded": "ERROR",
     "catch_up_waiting": "WARNING",
     "platform_older": "WARNING",
+    "platform_restored": "WARNING",
 }
 """Log levels of events that need an operator's attention; all others are INFO."""
 
@@ -131,7 +143,7 @@
     def refusals(self) -> tuple[str, ...]:
         """Return the faults of all documents that are now refused, and the conflicts of names."""
         refused = tuple(
-            f"{refusal.key} at revision {refusal.revision}: {fault}"
+            f"{refusal.key} at revision {positions.text_of(refusal.revision)}: {fault}"
             for refusal in self.core.configuration.current_refusals
             for fault in refusal.faults
         )
@@ -161,16 +173,18 @@
             future.set_exception(error)
 
     def call_platform(self, effect: gossip_state.WatchPlatform) -> gossip.PlatformRead:
-        """Make one call to the platform; runs in an executor."""
-        if effect.stream == watching.VALUES:
-            answer = self.platform.watch(effect.after, effect.wait_until)
-            values = ((entry.key, entry.revision, entry.value) for entry in answer.entries)
-            delta = configuration.values_delta(effect.after, answer.revision, values)
-            return gossip.PlatformRead(effect.stream, delta, answer.more)
-        listed = self.platform.instances(effect.after, effect.wait_until)
-        instances = (instance_of(entry) for entry in listed.entries)
-        delta = configuration.instances_delta(effect.after, listed.revision, instances)
-        return gossip.PlatformRead(effect.stream, delta, listed.more)
+        """Make one call to the platform, or all for a whole stream; runs in an executor."""
+        is_values = effect.stream == watching.VALUES
+        read = self.platform.watch if is_values else self.platform.instances
+        if effect.whole:
+            answer = client.read_all_pages(read, effect.wait_until + WHOLE_READ_MS)
+        else:
+            answer = read(effect.after, effect.wait_until)
+        make_delta = values_delta_of if is_values else instances_delta_of
+        delta = make_delta(effect.after, answer)
+        if effect.whole:
+            delta = configuration.as_snapshot(delta)
+        return gossip.PlatformRead(effect.stream, delta, answer.more)
 
     def on_platform_done(self, stream: str, future: concurrent.futures.Future) -> None:
         """Pass the result of a call to the platform to the core."""
@@ -213,6 +227,18 @@
         self.post_event(gossip.FetchFailed(nonce))
 
 
+def values_delta_of(after: int, answer: client.Values) -> store.Delta:
+    """Return the delta of an answer to a watch of values."""
+    values = ((entry.key, entry.revision, entry.value) for entry in answer.entries)
+    return configuration.values_delta(after, answer.revision, values)
+
+
+def instances_delta_of(after: int, answer: client.Instances) -> store.Delta:
+    """Return the delta of an answer to a watch of the list of instances."""
+    instances = (instance_of(entry) for entry in answer.entries)
+    return configuration.instances_delta(after, answer.revision, instances)
+
+
 def instance_of(entry: client.Instance) -> tuple[assembly.Instance, bool]:
     """Return the instance of an entry of the platform's list, and whether it is gone."""
     leaving = entry.state == "leaving"
--- a/src/ebonystile/operator/directory.py
+++ b/src/ebonystile/operator/directory.py
@@ -13,8 +13,6 @@
 ROLES = {"balancer": "balancer", "upstream": "sidecar"}
 """The program that runs on an instance, by its role in the platform's list."""
 
-Page = typing.TypeVar("Page", platform_client.Values, platform_client.Instances)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Discovery:
@@ -46,20 +44,7 @@
     platform: platform_client.Platform, wait_until: int
 ) -> tuple[platform_client.Instance, ...]:
     """Return the complete list of instances; raise `PlatformError`."""
-    return read_all_pages(platform.instances, wait_until).entries
-
-
-def read_all_pages(read: abc.Callable[[int, int], Page], wait_until: int) -> Page:
-    """Read all pages of the list or of the values into one; raise `PlatformError`."""
-    page = read(0, clock.now())
-    entries = list(page.entries)
-    while page.more:
-        if clock.now() >= wait_until:
-            reason = "too many pages for the time given"
-            raise errors.PlatformError(reason, step="read platform", peer="platform")
-        page = read(page.revision, clock.now())
-        entries += page.entries
-    return dataclasses.replace(page, entries=tuple(entries))
+    return platform_client.read_all_pages(platform.instances, wait_until).entries
 
 
 def process_of(entry: platform_client.Instance) -> client.Process:
@@ -87,8 +72,8 @@
     platform: platform_client.Platform, wait_until: int
 ) -> configuration.Configuration:
     """Return the configuration as the platform publishes it now; raise `PlatformError`."""
-    values = read_all_pages(platform.watch, wait_until)
-    instances = read_all_pages(platform.instances, wait_until)
+    values = platform_client.read_all_pages(platform.watch, wait_until)
+    instances = platform_client.read_all_pages(platform.instances, wait_until)
     return make_configuration(
         values.revision,
         [(value.key, value.revision, value.value) for value in values.entries],
--- a/src/ebonystile/operator/explain.py
+++ b/src/ebonystile/operator/explain.py
@@ -4,6 +4,7 @@
 import typing
 from collections import abc
 
+from ebonystile.core import positions
 from ebonystile.operator import client, messages
 
 HOLDS = {
@@ -47,8 +48,9 @@
 
 def lines(route: Route) -> list[str]:
     """Format the route as lines of text."""
+    revision = positions.text_of(route.revision)
     return [
-        f"service {route.service}, flow {route.flow.hex()}, revision {route.revision}",
+        f"service {route.service}, flow {route.flow.hex()}, revision {revision}",
         *ranking_lines(route),
         *holder_lines(route),
         *routing_lines(route),
@@ -62,7 +64,8 @@
         return ["no process answered"]
     answer = route.newest[0]
     if not answer.known:
-        return [f"no service of this name at revision {answer.revision}: opens are refused"]
+        revision = positions.text_of(answer.revision)
+        return [f"no service of this name at revision {revision}: opens are refused"]
     if not answer.ranking:
         return ["no upstream of the service takes new flows: opens are refused"]
     tried = ", ".join(f"{n}. {name}" for n, name in enumerate(answer.ranking, 1))
@@ -77,7 +80,7 @@
     if not route.holders:
         return ["no process that answered holds the flow"]
     return [
-        f"{e.process} (incarnation {e.incarnation:016x}, revision {e.revision}) "
+        f"{e.process} (incarnation {e.incarnation:016x}, revision {positions.text_of(e.revision)}) "
         + HOLDS.get(e.holds, "is in an unknown state with the flow").format(target=e.target)
         for e in route.holders
     ]
@@ -97,7 +100,7 @@
 
 def caveat_lines(route: Route) -> list[str]:
     """Return a line for each process whose stale or missing answer makes the rest uncertain."""
-    stale = [f"{e.process} is at revision {e.revision}" for e in route.stale]
+    stale = [f"{e.process} is at revision {positions.text_of(e.revision)}" for e in route.stale]
     unanswered = [f"{r.process.name} did not answer: {r.error}" for r in route.unanswered]
     return stale + unanswered
 
--- a/src/ebonystile/operator/status.py
+++ b/src/ebonystile/operator/status.py
@@ -3,6 +3,7 @@
 import typing
 from collections import abc
 
+from ebonystile.core import positions
 from ebonystile.operator import client, messages, tables
 
 HEADERS = (
@@ -53,8 +54,8 @@
         status.role,
         status.zone,
         address,
-        f"{status.revision}{STALE_MARK if status.revision < newest else ''}",
-        str(status.instances_revision),
+        positions.text_of(status.revision) + (STALE_MARK if status.revision < newest else ""),
+        positions.text_of(status.instances_revision),
         f"{status.incarnation:016x}",
         format_duration(status.now - status.started),
         str(status.flows),
@@ -70,7 +71,7 @@
     lines = []
     stale = sum(status.revision < newest for status in answers(replies))
     if stale:
-        lines.append(f"{STALE_MARK} {stale} behind revision {newest}")
+        lines.append(f"{STALE_MARK} {stale} behind revision {positions.text_of(newest)}")
     unanswered = len(replies) - len(answers(replies))
     if unanswered:
         lines.append(f"{unanswered} of {len(replies)} did not answer")
--- a/standins/history.py
+++ b/standins/history.py
@@ -33,10 +33,11 @@
 
 
 class History:
-    """Versions of all keys, numbered in one sequence from 1."""
+    """Versions of all keys, numbered in one sequence from 1; `backup` is the length of a copy."""
 
     def __init__(self) -> None:
         self.versions: list[Version] = []
+        self.backup = 0
 
     @property
     def revision(self) -> int:
@@ -48,6 +49,14 @@
         self.versions.append(Version(self.revision + 1, now, key, value))
         return self.revision
 
+    def back_up(self) -> None:
+        """Keep a copy of the current state."""
+        self.backup = self.revision
+
+    def restore(self) -> None:
+        """Go back to the copy; later revisions are given out again."""
+        del self.versions[self.backup :]
+
     def revision_at(self, time: int) -> int:
         """Return the newest revision written at `time` or before."""
         revision = self.revision
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,5 +1,7 @@
 """Platform stand-in: serves the API of docs/PLATFORM.md, and can be down, stale, slow or older.
 
+It can also be restored from an older copy, in a new epoch.
+
 The API is read-only; operators and tests write through the `standin/` paths.
 """
 
@@ -49,6 +51,7 @@
         self.instances = history.History()
         self.mode = Mode()
         self.held = {"values": 0, "instances": 0}
+        self.epoch = 0
         self.random = random.Random(seed)
         self.calls: collections.Counter[str] = collections.Counter()
         self.waiting = 0
@@ -91,19 +94,20 @@
         """Return the changes after a revision; wait up to `wait_ms` if there are none yet."""
         kind = "values" if head == "watch" else "instances"
         log = self.values if kind == "values" else self.instances
-        after = query.number("after", 0)
         wait_until = web.now_ms() + query.number("wait_ms", 0)
         with self.condition:
+            epoch = self.epoch
+            after = query.number("after", 0) if query.number("epoch", 0) == epoch else 0
             older = self.random.random() < self.mode.share
             self.waiting += 1
             try:
                 self.wait_newer(kind, after, wait_until, older)
             finally:
                 self.waiting -= 1
-            if self.mode.mode == "down":
+            if self.mode.mode == "down" or self.epoch != epoch:
                 return self.refuse()
             page = log.page(after, self.ceiling(kind, web.now_ms(), older), MAX_VALUE_BYTES)
-        fields = {"revision": page.revision, "more": page.more}
+        fields = {"epoch": epoch, "revision": page.revision, "more": page.more}
         if kind == "values":
             shown = [
                 {"key": v.key, "revision": v.revision, "value": v.value} for v in page.versions
@@ -113,7 +117,8 @@
 
     def wait_newer(self, kind: str, after: int, wait_until: int, older: bool) -> None:
         """Wait for a revision above `after` or the timeout; the lock must be held."""
-        while self.mode.mode != "down" and not self.stopping:
+        epoch = self.epoch
+        while self.mode.mode != "down" and self.epoch == epoch and not self.stopping:
             now = web.now_ms()
             if self.ceiling(kind, now, older) > after or now >= wait_until:
                 return
@@ -144,6 +149,8 @@
             "standin/values": self.put_values,
             "standin/instances": self.put_instances,
             "standin/mode": self.set_mode,
+            "standin/backup": self.back_up,
+            "standin/restore": self.restore,
         }.get(query.path)
         with self.condition:
             if query.path == "standin/calls":
@@ -172,6 +179,19 @@
             self.instances.put(entry["name"], entry, web.now_ms())
         return web.json_answer({"revision": self.instances.revision})
 
+    def back_up(self, document: typing.Any) -> web.Answer:
+        """Keep a copy of the values and the list."""
+        for log in (self.values, self.instances):
+            log.back_up()
+        return web.json_answer({"epoch": self.epoch})
+
+    def restore(self, document: typing.Any) -> web.Answer:
+        """Go back to the copy, in a new epoch; waiting watches get 503."""
+        for log in (self.values, self.instances):
+            log.restore()
+        self.epoch += 1
+        return web.json_answer({"epoch": self.epoch})
+
     def set_mode(self, document: typing.Any) -> web.Answer:
         """Set the mode; stale and older freeze the current revision, or the one given."""
         self.mode = Mode(**document)
--- a/tests/platform/test_platform_client.py
+++ b/tests/platform/test_platform_client.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ebonystile import errors
+from ebonystile.core import positions
 from ebonystile.platform import client
 from standins import web
 
@@ -46,6 +47,8 @@
         values(9, 10),
         values(9, 3),
         values(4, more=True),
+        b'{"revision": 5, "epoch": -1, "values": [], "more": false}',
+        b'{"revision": 5, "epoch": 99999999, "values": [], "more": false}',
         b" " * (client.MAX_ANSWER_BYTES + 1),
     ],
 )
@@ -87,3 +90,11 @@
 def test_other_statuses_and_cut_connections_are_errors(canned, answer):
     with pytest.raises(errors.PlatformError):
         canned(answer).watch(0, 0)
+
+
+def test_an_answer_of_a_restored_platform_begins_from_the_start(canned):
+    """Its revisions are lower than the one asked from, and would be refused in the same epoch."""
+    body = json.loads(values(4, 2, 3))
+    watched = canned(web.Answer(200, json.dumps({**body, "epoch": 2}).encode())).watch(9, 0)
+    assert watched.revision == positions.make_position(2, 4)
+    assert [positions.text_of(entry.revision) for entry in watched.entries] == ["2:2", "2:3"]
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ebonystile import errors
+from ebonystile.core import positions
 from ebonystile.platform import client
 from standins import processes, web
 
@@ -107,3 +108,26 @@
     processes.publish_instance(child, "line-1", "upstream", "127.0.0.1:4001", "umea", "gone")
     gone = platform.instances(1, web.now_ms() + 10_000)
     assert [i.state for i in gone.entries] == ["gone"]
+
+
+def test_a_restored_platform_gives_revisions_out_again(child, platform):
+    processes.publish_value(child, "labels/0", {"n": 1})
+    child.post("standin/backup", {})
+    processes.publish_value(child, "labels/0", {"n": 2})
+    lost = platform.watch(0, 0)
+    child.post("standin/restore", {})
+    restored = platform.watch(lost.revision, 0)
+    assert restored.revision == positions.make_position(1, 1) > lost.revision
+    assert [v.value for v in restored.entries] == [{"n": 1}]
+    processes.publish_value(child, "labels/0", {"n": 3})
+    assert [v.value for v in platform.watch(restored.revision, 0).entries] == [{"n": 3}]
+
+
+def test_a_restoration_ends_waiting_watches(child, platform):
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        waiting = executor.submit(platform.watch, 0, web.now_ms() + 30_000)
+        while child.get("standin/calls")["waiting"] == 0:
+            threading.Event().wait(0.01)
+        child.post("standin/restore", {})
+        with pytest.raises(errors.PlatformError):
+            waiting.result(30)
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ebonystile import clock, errors
+from ebonystile.core import positions
 from ebonystile.core.control import configuration, watching
 from ebonystile.peer import bulk, control, seal
 from standins import processes, system
@@ -19,6 +20,7 @@
 
     def __init__(self, children):
         self.system = system.System(children)
+        self.epoch = 0
         self.publish("first")
         self.seeds = []
         for number in range(4):
@@ -32,7 +34,13 @@
 
     def publish(self, app):
         value = {"services": {"line": {"address": "10.1.0.1:443", "selector": {"app": app}}}}
-        self.revision = processes.publish_value(self.system.platform, "services/00", value)
+        revision = processes.publish_value(self.system.platform, "services/00", value)
+        self.revision = positions.make_position(self.epoch, revision)
+
+    def restore(self):
+        """Let the platform come back from the copy that was kept."""
+        self.system.platform.post("standin/restore", {})
+        self.epoch += 1
 
     def set_platform_mode(self, **fields):
         self.system.platform.post("standin/mode", fields)
@@ -86,6 +94,18 @@
     assert fleet.pull_revision(late) == (True, fleet.revision)
 
 
+def test_changes_arrive_after_the_platform_was_restored_from_an_older_copy(fleet):
+    """Guards against changes that are passed over because their revisions were given out before."""
+    fleet.system.platform.post("standin/backup", {})
+    for _ in range(3):
+        fleet.publish("second")
+    fleet.wait_for_revision(fleet.system.balancers.values())
+    fleet.restore()
+    fleet.publish("second")
+    fleet.publish("third")
+    fleet.wait_for_revision(fleet.system.balancers.values())
+
+
 def test_change_arrives_though_the_watchers_were_killed(fleet):
     """Guards against a change that is missed because all watchers of the platform died.
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -169,6 +169,83 @@
     assert all(app_of(node) == "second" for node in f.names.values())
 
 
+def count_reverts(f, seen):
+    """Return how many nodes show an older document than before, and keep what they show."""
+    order = ["first", "second", "third"]
+    shown = {name: order.index(app_of(node)) for name, node in f.names.items()}
+    reverts = sum(place < seen.get(name, 0) for name, place in shown.items())
+    seen.update(shown)
+    return reverts
+
+
+def restore_and_publish(f, again_ms):
+    """Lose "second" by a restoration, write it again after a time, then publish "third"."""
+    f.back_up()
+    for _ in range(5):
+        f.publish_value("services/1", document("second"))
+    f.publish_value("services/2", {"services": {}})
+    assert f.run(20 * SECOND, lambda: f.has_converged(f.streams["values"].revision))
+    seen = {}
+    count_reverts(f, seen)
+    f.restore()
+    reverts = 0
+    for _ in range(again_ms // 100):
+        f.run(100)
+        reverts += count_reverts(f, seen)
+    f.publish_value("services/1", document("second"))
+    for _ in range(30):
+        f.run(100)
+        reverts += count_reverts(f, seen)
+    return f.publish_value("services/1", document("third")), reverts
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_change_confirmed_after_the_platform_was_restored_reaches_all_in_time(seed):
+    """Its revision is lower than those of the changes that the platform has lost."""
+    f = make_fleet(9, seed=seed)
+    revision, _ = restore_and_publish(f, 1_500)
+    assert f.run(10 * SECOND, lambda: f.has_converged(revision))
+    assert {app_of(node) for node in f.names.values()} == {"third"}
+    assert all("services/2" not in n.core.configuration.values.entries for n in f.names.values())
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_process_goes_back_while_a_restored_platform_is_written_again(seed):
+    """The copy has an older document; a process that took it would revert a confirmed change."""
+    f = make_fleet(9, seed=seed)
+    _, reverts = restore_and_publish(f, 1_500)
+    assert reverts == 0
+
+
+def test_a_list_that_a_restored_platform_has_lost_for_good_is_dropped():
+    """Nothing else ends the entry of an instance that came after the copy was made."""
+    f = make_fleet(6)
+    f.back_up()
+    lost = f.add("line-1", role="upstream", seeds=["b0", "b1"])
+    f.run(10 * SECOND)
+    f.kill(lost)
+    f.restore()
+    f.run(20 * SECOND)
+    for node in f.names.values():
+        if node.alive:
+            assert "line-1" not in node.core.configuration.instances.entries
+
+
+def test_a_restored_list_is_dropped_late():
+    """Instances that the copy lacks are still running, and are written again shortly."""
+    f = make_fleet(6)
+    f.back_up()
+    running = f.add("line-1", role="upstream", seeds=["b0", "b1"])
+    f.run(10 * SECOND)
+    f.restore()
+    f.run(1_500)
+    f.list_instance(running)
+    for _ in range(100):
+        f.run(100)
+        for node in f.names.values():
+            assert "line-1" in {e.name for e in node.core.configuration.view.endpoints.values()}
+
+
 def test_paused_process_does_not_act_before_it_has_caught_up():
     """A balancer that wakes from a pause must not route by the old view.
 
