Soak: the store is restored from an older copy, and all lose power at once

New check: the latest configuration is in force at every daemon 3 s after the last fault (6 s under load).

--- a/standins/store.py
+++ b/standins/store.py
@@ -116,14 +116,23 @@
         with self.changed:
             self.backup = self.copy()
 
-    def restore(self) -> None:
-        """Go back to the copy, in a new epoch; waiting watches are cut."""
+    def restore(self) -> dict[str, bytes | None]:
+        """Go back to the copy, in a new epoch; waiting watches are cut.
+
+        Return the values that the copy lacks by their keys, None for a key deleted since.
+        """
         with self.changed:
+            lost = {
+                key: self.items[key].value if key in self.items else None
+                for key in {*self.items, *self.backup.items}
+                if self.items.get(key) != self.backup.items.get(key)
+            }
             self.items, self.revision = dict(self.backup.items), self.backup.revision
             self.history = [item for item in self.history if item.revision <= self.revision]
             self.floor = min(self.floor, self.revision)
             self.epoch += 1
             self.changed.notify_all()
+        return lost
 
     def set_mode(self, mode: str) -> None:
         """Set whether calls are served, refused or left unanswered."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,9 +1,9 @@
 """Soak test of the carrier daemons: real processes under random faults, with checked guarantees.
 
 `python -m tests.soak --seed 7 --seconds 20` runs one seed. Kills, SIGTERM, pauses, SIGHUP, store
-failures, upstream crashes and route changes overlap, while callers keep flows open through changing
-balancers. Only processes started here are signalled, by their ids. The exit status is 1 if a
-guarantee was violated.
+failures and restorations, losses of all power, upstream crashes and route changes overlap, while
+callers keep flows open through changing balancers. Only processes started here are signalled, by
+their ids. The exit status is 1 if a guarantee was violated.
 """
 
 import argparse
@@ -18,6 +18,22 @@
 
 from standins import ends, installation, store
 
+KINDS = (
+    "kill",
+    "kill",
+    "term",
+    "pause",
+    "hup",
+    "store",
+    "forget",
+    "crash",
+    "routes",
+    "rubbish",
+)
+ALL_KINDS = (*KINDS, "restore", "restore", "power")
+"""Kinds of faults, some of them twice, as they are drawn twice as often. The seeds that are kept as
+cases draw from `KINDS`."""
+
 CALLERS = 24
 STEP_S = 0.1
 MISDELIVERY_WINDOW_MS = 2_000
@@ -35,6 +51,16 @@
 FIRST_FAULT_AFTER_S = 2.0
 """Time before the first fault, in s."""
 
+BACKUP_INTERVAL_S = 3.0
+"""Interval at which the store is copied, in s; a restored store is up to this old."""
+
+MAX_REWRITE_S = 1.5
+"""Longest time until what a restored store has lost is written again, in s."""
+
+CONFIGURED_S = 3.0
+"""Time within which the latest configuration is in force at every daemon, in s; doubled under
+load."""
+
 
 @dataclasses.dataclass
 class Soak:
@@ -42,10 +68,14 @@
 
     running: installation.Installation
     rng: random.Random
+    kinds: tuple[str, ...] = ALL_KINDS
     callers: list[ends.Caller] = dataclasses.field(default_factory=list)
     last_fault_ms: collections.Counter = dataclasses.field(default_factory=collections.Counter)
     paused: dict[str, float] = dataclasses.field(default_factory=dict)
     store_until: float = 0.0
+    back_up_at: float = 0.0
+    rewrite_at: float = 0.0
+    lost_values: dict[str, bytes | None] = dataclasses.field(default_factory=dict)
     violations: list[str] = dataclasses.field(default_factory=list)
     faults: collections.Counter = dataclasses.field(default_factory=collections.Counter)
     served: int = 0
@@ -66,20 +96,7 @@
     def inject_fault(self) -> None:
         """Inject one random fault."""
         machine = self.rng.choice(self.machines())
-        kind = self.rng.choice(
-            [
-                "kill",
-                "kill",
-                "term",
-                "pause",
-                "hup",
-                "store",
-                "forget",
-                "crash",
-                "routes",
-                "rubbish",
-            ]
-        )
+        kind = self.rng.choice(self.kinds)
         if kind == "kill":
             self.record_fault(machine, kind)
             self.running.signal(machine, signal.SIGKILL)
@@ -100,25 +117,56 @@
         elif kind == "forget":
             self.faults[kind] += 1
             self.running.store.forget()
+        elif kind == "restore" and not self.lost_values:
+            self.faults[kind] += 1
+            self.lost_values = self.running.store.restore()
+            self.rewrite_at = time.monotonic() + self.rng.uniform(0.1, MAX_REWRITE_S)
+        elif kind == "power":
+            for lost in self.machines():
+                self.record_fault(lost, kind)
+                self.running.signal(lost, signal.SIGKILL)
+            with self.running.lock:
+                for crashed in self.running.sidecars:
+                    crashed.upstream.restart()
+            for crashed in self.running.sidecars:
+                self.publish(crashed, born=installation.now_ms())
         elif kind == "crash":
             upstreams = self.running.sidecars
             crashed = self.rng.choice(upstreams)
             self.record_fault(crashed, kind)
             with self.running.lock:
                 crashed.upstream.restart()
-            self.running.publish(crashed, born=installation.now_ms())
+            self.publish(crashed, born=installation.now_ms())
         elif kind == "routes":
             self.faults[kind] += 1
             extra = {("198.18.0.9", self.rng.randrange(1, 60_000)): installation.SERVICE}
+            self.lost_values.pop("op/config", None)
             self.running.configure({installation.ROUTE: installation.SERVICE, **extra})
         elif kind == "rubbish":
             self.faults[kind] += 1
             name = f"servers/x{self.rng.randrange(5)}"
             self.running.store.put(name, self.rng.choice([b"\xff", {"state": 1}, None]))
 
+    def publish(self, machine: installation.Machine, **changes) -> None:
+        """Write the entry of an upstream, which replaces one that is still to be written again."""
+        self.lost_values.pop(f"servers/{machine.name}", None)
+        self.running.publish(machine, **changes)
+
+    def drive_store(self) -> None:
+        """Copy the store, and write again what a restoration has lost, when they are due."""
+        now = time.monotonic()
+        if self.lost_values and now >= self.rewrite_at:
+            for key, value in self.lost_values.items():
+                self.running.store.put(key, value)
+            self.lost_values = {}
+        if not self.lost_values and now >= self.back_up_at:
+            self.back_up_at = now + BACKUP_INTERVAL_S
+            self.running.store.back_up()
+
     def restore_due(self) -> None:
         """Restart ended daemons, resume paused ones, and restore the store when they are due."""
         now = time.monotonic()
+        self.drive_store()
         for machine in self.machines():
             until = self.paused.get(machine.name)
             if until is not None and now >= until:
@@ -221,10 +269,23 @@
                 self.running.wait(lambda b=balancer: self.is_serving(b), 2 * RECOVERY_S)
             except AssertionError:
                 self.violations.append(f"{balancer.name} serves no caller after the last fault")
+        try:
+            self.running.wait(self.is_configured, 2 * CONFIGURED_S)
+        except AssertionError:
+            self.violations.append("a daemon lacks the latest configuration")
         for machine in self.machines():
             bugs = [line for line in self.running.lines(machine) if "event=bug" in line]
             self.violations.extend(f"{machine.name}: {line}" for line in bugs)
 
+    def is_configured(self) -> bool:
+        """Return whether the latest configuration is in force at every daemon."""
+        self.restore_due()
+        present = f"event=configured version={self.running.version} "
+        return all(
+            any(present in line for line in self.running.lines(m)[m.lines_at_start :])
+            for m in self.machines()
+        )
+
     def is_serving(self, balancer: installation.Machine) -> bool:
         """Return whether a new caller gets its answer through the balancer."""
         self.restore_due()
@@ -233,10 +294,12 @@
         return caller.answer is not None
 
 
-def run_seed(seed: int, seconds: float, directory: pathlib.Path) -> Soak:
+def run_seed(
+    seed: int, seconds: float, directory: pathlib.Path, kinds: tuple[str, ...] = ALL_KINDS
+) -> Soak:
     """Run one seed and return the finished run."""
     with installation.Installation(directory, balancers=3, upstreams=4) as running:
-        soak = Soak(running, random.Random(seed))
+        soak = Soak(running, random.Random(seed), kinds)
         soak.run(seconds)
     return soak
 
