--- a/tests/soak.py
+++ b/tests/soak.py
@@ -269,14 +269,34 @@
                 self.running.wait(lambda b=balancer: self.is_serving(b), 2 * RECOVERY_S)
             except AssertionError:
                 self.violations.append(f"{balancer.name} serves no caller after the last fault")
-        try:
-            self.running.wait(self.is_configured, 2 * CONFIGURED_S)
-        except AssertionError:
-            self.violations.append("a daemon lacks the latest configuration")
+        self.check_configured("after the last fault")
+        if "restore" in self.kinds:
+            self.restore_under_changes()
+            self.check_configured("after a restoration of the store")
         for machine in self.machines():
             bugs = [line for line in self.running.lines(machine) if "event=bug" in line]
             self.violations.extend(f"{machine.name}: {line}" for line in bugs)
 
+    def restore_under_changes(self) -> None:
+        """Let the store lose changes that every daemon has, and make another one."""
+        self.running.store.back_up()
+        for port in range(1, 4):
+            self.running.configure(
+                {installation.ROUTE: installation.SERVICE, ("198.18.0.8", port): "s"}
+            )
+        self.check_configured("before the restoration")
+        lost = self.running.store.restore()
+        for key, value in lost.items():
+            self.running.store.put(key, value)
+        self.running.configure({installation.ROUTE: installation.SERVICE})
+
+    def check_configured(self, when: str) -> None:
+        """Wait until every daemon has the latest configuration in force."""
+        try:
+            self.running.wait(self.is_configured, 2 * CONFIGURED_S)
+        except AssertionError:
+            self.violations.append(f"a daemon lacks the latest configuration {when}")
+
     def is_configured(self) -> bool:
         """Return whether the latest configuration is in force at every daemon."""
         self.restore_due()
