Failing test: a packet of the stand-ins costs more with each caller made before

What is seen: one of 600 callers is not answered in 5 s, beside other load, once (test_a_log_that_nobody_reads_stops_no_packet).

Observability first: a caller without an answer describes itself, and the stand-ins state their longest turn and the number of callers.

--- a/standins/ends.py
+++ b/standins/ends.py
@@ -140,7 +140,8 @@
 class Caller:
     """A caller with one flow and one request at a time; times in ms.
 
-    `answer` belongs to the last request; `resets` counts the resets accepted.
+    `answer` belongs to the last request; `resets` counts the resets accepted. `opening_sent_at`
+    holds when each copy of the opening packet was sent.
     """
 
     def __init__(self, flow: packet.Flow, now: int, first_position: int = 7_000):
@@ -157,6 +158,7 @@
         self.next_at = now
         self.interval = RESEND_MS
         self.tries = 0
+        self.opening_sent_at: list[int] = []
 
     def ask(self, request: bytes, now: int) -> None:
         """Queue a request, sent as soon as the flow is open."""
@@ -186,10 +188,16 @@
             return []
         copy = self.tries
         self.tries += 1
+        self.opening_sent_at.append(now)
         times = (*FIRST_TRIES_MS, OPEN_TIMEOUT_MS)
         self.next_at = self.started_at + times[self.tries]
         return [pack(caller, route, packets.SYN, self.sequence - 1, copy)]
 
+    def describe(self) -> str:
+        """Return what became of the flow, for the message of a failed check."""
+        sent = [at - self.started_at for at in self.opening_sent_at]
+        return f"open={self.open} over={self.over} resets={self.resets} opening sent at {sent} ms"
+
     def on_packet(self, raw: bytes, now: int) -> list[bytes]:
         """Process a packet and return the packets to send at once."""
         got = packets.from_upstream(raw)
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -112,6 +112,7 @@
             maxlen=5_000
         )
         self.version = 0
+        self.longest_turn_ms = 0
         self.balancers = [self.machine("balancer", n) for n in range(balancers)]
         self.sidecars = [self.machine("sidecar", n) for n in range(upstreams)]
         self.ended = threading.Event()
@@ -302,15 +303,29 @@
     def answered(
         self, caller: ends.Caller, request: bytes = b"hello", seconds: float = 10
     ) -> bytes:
-        """Wait for the answer to a request and return the name of the upstream."""
-        self.wait(
-            lambda: caller.answer is not None and caller.answer.endswith(b":" + request), seconds
-        )
+        """Wait for the answer to a request and return the name of the upstream.
+
+        Raise AssertionError on timeout, with what the caller and this installation did.
+        """
+        try:
+            self.wait(
+                lambda: caller.answer is not None and caller.answer.endswith(b":" + request),
+                seconds,
+            )
+        except AssertionError as error:
+            raise AssertionError(
+                f"no answer within {seconds} s: {caller.describe()}; longest turn of the "
+                f"stand-ins {self.longest_turn_ms} ms, {len(self.callers)} callers"
+            ) from error
         return caller.answer.partition(b":")[0]
 
     def drive(self) -> None:
         """Send the callers' due packets and receive packets until the installation stops."""
+        turn_ended_at = now_ms()
         while not self.ended.is_set():
+            now = now_ms()
+            self.longest_turn_ms = max(self.longest_turn_ms, now - turn_ended_at)
+            turn_ended_at = now
             for key, _ in self.selector.select(STEP_S / 4):
                 with self.lock:
                     key.data()
--- a/tests/standins/test_installation.py
+++ b/tests/standins/test_installation.py
@@ -1,10 +1,14 @@
-"""Port reservation of stand-in installations."""
+"""Port reservation of stand-in installations, and what a packet costs them."""
 
 import dataclasses
 
 import pytest
 
-from standins import installation, system
+from ebonystile.core.carrying import packet
+from ebonystile.platform import packets
+from standins import ends, installation, system
+
+IDLE_CALLERS = 500
 
 
 def test_installations_side_by_side_never_share_a_port(monkeypatch):
@@ -17,3 +21,25 @@
             with pytest.raises(OSError, match="in use"):
                 installation.udp(("127.0.0.1", port))
     installation.udp(("127.0.0.1", first.ports.packets)).close()
+
+
+def add_idle_caller(running, port):
+    """Add a caller with an open flow and nothing to send."""
+    flow = packet.endpoint_of("127.0.3.1", port) + packet.endpoint_of(*installation.ROUTE)
+    idle = ends.Caller(flow, installation.now_ms())
+    idle.open = True
+    idle.next_at = installation.now_ms() + 60_000
+    with running.lock:
+        running.callers[flow] = idle
+
+
+def test_a_packet_costs_no_more_with_many_callers(tmp_path, monkeypatch):
+    """Answers would wait in the socket of the callers until these have given up."""
+    decoded = []
+    decode = packets.from_upstream
+    monkeypatch.setattr(packets, "from_upstream", lambda raw: decoded.append(raw) or decode(raw))
+    with installation.Installation(tmp_path) as running:
+        for port in range(40_000, 40_000 + IDLE_CALLERS):
+            add_idle_caller(running, port)
+        running.answered(running.caller(running.balancers[0]))
+    assert len(decoded) < IDLE_CALLERS
