Stand-ins: upstreams' initial positions lie far from each other

The stand-ins' upstreams began 1,000,000 apart and stepped by 1,000,003, so the k-th offer of one lay 3 from the next one's: sidecar-2's and sidecar-3's could not be told from each other. Random positions meet with a chance of 3 in 100,000 for each flow that two upstreams accept.

Change: the step is 2^26, with which offers of 66 upstreams stay 1,000,000 apart. test_no_two_upstreams_offer_positions_near_each_other failed before (2,000,003 and 2,000,000). Left, and suspected only: where positions do lie near each other, the daemons reset a flow that another upstream holds; a sidecar could return such a packet as absent instead.

--- a/standins/ends.py
+++ b/standins/ends.py
@@ -21,6 +21,10 @@
 
 SEQUENCE_MODULUS = 1 << 32
 
+POSITION_STEP = 1 << 26
+"""Distance of an upstream's successive initial positions. Those of upstreams that begin 1,000,000
+apart stay far from each other, as random ones nearly always do."""
+
 
 def pack(
     origin: bytes, target: bytes, flags: int, sequence: int, acknowledged: int, data: bytes = b""
@@ -71,7 +75,7 @@
 
     def __init__(self, name: str, first_position: int = 1_000, room: int = 2_000):
         self.name = name
-        self.positions = itertools.count(first_position, 1_000_003)
+        self.positions = itertools.count(first_position, POSITION_STEP)
         self.room = room
         self.alive = True
         self.flows: dict[packet.Flow, Accepted] = {}
--- a/tests/standins/test_installation.py
+++ b/tests/standins/test_installation.py
@@ -1,14 +1,16 @@
-"""Port reservation of stand-in installations, and what a packet costs them."""
+"""Stand-in installations: reserved ports, what a packet costs, how far apart offers are."""
 
 import dataclasses
+import itertools
 
 import pytest
 
-from ebonystile.core.carrying import packet
+from ebonystile.core.carrying import packet, table
 from ebonystile.platform import packets
 from standins import ends, installation, system
 
 IDLE_CALLERS = 500
+UPSTREAMS, OFFERS = 12, 64
 
 
 def test_installations_side_by_side_never_share_a_port(monkeypatch):
@@ -23,6 +25,17 @@
     installation.udp(("127.0.0.1", first.ports.packets)).close()
 
 
+def test_no_two_upstreams_offer_positions_near_each_other():
+    """A caller's acknowledgement would fit the offers of two upstreams that accepted its copies."""
+    offers = []
+    for number in range(1, UPSTREAMS + 1):
+        positions = ends.Upstream("u", 1_000_000 * number).positions
+        offers += [(next(positions) % ends.SEQUENCE_MODULUS, number) for _ in range(OFFERS)]
+    offers.sort()
+    for (low, one), (high, other) in itertools.pairwise(offers):
+        assert one == other or high - low > table.MAX_OFFER_DISTANCE
+
+
 def add_idle_caller(running, port):
     """Add a caller with an open flow and nothing to send."""
     flow = packet.endpoint_of("127.0.3.1", port) + packet.endpoint_of(*installation.ROUTE)
