A killed upstream's request still runs when the upstream is killed

The request takes 1 s; the test polls three upstreams until one has begun it, and that took longer, so it had been answered before the kill. ANSWERED is true there. With a service time of 1 ms the test fails in the same way on an idle machine.

Change: the request takes 12 s, within its deadline of 15 s, so the kill always strikes a running one.

--- a/tests/test_processes_faults.py
+++ b/tests/test_processes_faults.py
@@ -17,6 +17,9 @@
 ZONE = "umea"
 WAIT_S = 30
 UPSTREAMS = 3
+LONG_RUN_MS = 12_000
+"""Service time of a request that must still run when its upstream is killed, in ms, within the
+deadline of 15 s."""
 
 
 @pytest.fixture
@@ -129,6 +132,8 @@
 
 def test_killed_upstream_gives_an_unknown_outcome_at_once(running):
     """Guards against waiting for the deadline when an upstream dies while it runs a request."""
+    for sidecar in running.sidecars:
+        sidecar.upstream.post("standin/faults", {"service_ms": LONG_RUN_MS})
     flow = running.caller.open("ledger", soon())
     deadline = soon()
     future = submit_request(flow, deadline)
