Read what a route states about its requests, and the rate of the instance's link

Cause: decisions under load need to know what callers of a route expect. Kind, response-time objective, timeout and priority stood in the configuration and were not read, nor was the rate of an instance's link.

Change: RequestTraits of a route, decoded once in the adapter. A malformed trait leaves the route in force without traits and gives one log line; before, nothing of it was looked at, and it must not keep a configuration from coming into force now. The settings gain link_mbps.

Before: no test; the tests added here fail on the code before (no such fields). After: the tests of the platform adapter, the feed, the settings pages and the whole suite but the processes' faults pass.

--- a/src/ebonystile/carrier/contents.py
+++ b/src/ebonystile/carrier/contents.py
@@ -115,6 +115,19 @@
         if self.route_table.replace(newer):
             routes_count = len(newer.by_endpoint)
             self.log_change("configured", item.revision, version=newer.version, routes=routes_count)
+            self.log_malformed_traits(item, newer)
+
+    def log_malformed_traits(self, item: entries.Item, newer: routes.Routes) -> None:
+        """Log that routes are in force without the request traits that they state."""
+        if newer.malformed_traits:
+            self.counts["malformed"] += 1
+            self.log_change(
+                "route_traits_ignored",
+                item.revision,
+                version=newer.version,
+                routes=len(newer.malformed_traits),
+                first=newer.malformed_traits[0],
+            )
 
     def apply_drain(self, item: entries.Item, now: int) -> None:
         """Start or end the drain of the zone that the key names; the value is ignored."""
--- a/src/ebonystile/core/calls/balancer.py
+++ b/src/ebonystile/core/calls/balancer.py
@@ -9,8 +9,7 @@
 import cbor2
 
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import rng, view
-from ebonystile.core.calls import fairness
+from ebonystile.core import fairness, rng, view
 from ebonystile.core.placing import ranking
 from ebonystile.peer import messages
 
--- a/src/ebonystile/core/carrying/routes.py
+++ b/src/ebonystile/core/carrying/routes.py
@@ -1,6 +1,7 @@
 """Map addresses and ports to the services that receive their flows."""
 
 import dataclasses
+import enum
 import typing
 
 import xxhash
@@ -11,6 +12,39 @@
 """Hash seed that makes the split of a route's flows independent of the ranking of upstreams."""
 
 
+DEFAULT_PRIORITY = 2
+"""Priority of routes that state none; 0 is the highest."""
+
+
+class RequestKind(enum.Enum):
+    """What the requests of a route are: whether they may be repeated, and which side sends bulk.
+
+    Uploads are non-idempotent, downloads are idempotent.
+    """
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    UPLOAD = "upload"
+    DOWNLOAD = "download"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """What the configuration states about the requests of a route.
+
+    `objective_ms` is the response time that callers expect, `timeout_ms` the time after which they
+    give a request up, both in ms and 0 if not stated. `kind` is None if not stated.
+    """
+
+    kind: RequestKind | None = None
+    objective_ms: int = 0
+    timeout_ms: int = 0
+    priority: int = DEFAULT_PRIORITY
+
+
+NO_TRAITS = RequestTraits()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """The destination of the flows to one address and port: services with their weights.
@@ -21,6 +55,7 @@
     name: str
     shares: tuple[tuple[str, int], ...]
     regions: tuple[str, ...] = ()
+    requests: RequestTraits = NO_TRAITS
 
     def service_of(self, flow: packet.Flow) -> str:
         """Return the service of a new flow, the same one for every copy of its opening packet."""
@@ -45,17 +80,24 @@
 
     `by_endpoint` maps encoded endpoints to their routes. `idle_timeout_ms` is the idle
     timeout of flows in ms. `slow_starts` gives the slow start of upstreams by service.
+    `malformed_traits` names the routes whose request traits were malformed and left out.
     """
 
     version: int
     by_endpoint: dict[bytes, Route]
     idle_timeout_ms: int
     slow_starts: typing.Mapping[str, warming.SlowStart] = dataclasses.field(default_factory=dict)
+    malformed_traits: tuple[str, ...] = ()
 
     def find(self, flow: packet.Flow) -> Route | None:
         """Return the route of the flow, or None if there is none."""
         return self.by_endpoint.get(packet.route_endpoint(flow))
 
+    def traits_of(self, flow: packet.Flow) -> RequestTraits:
+        """Return what the flow's route states about its requests."""
+        route = self.find(flow)
+        return route.requests if route is not None else NO_TRAITS
+
     def regions_of(self, flow: packet.Flow) -> tuple[str, ...]:
         """Return the regions that the flow's route is restricted to, empty for all regions."""
         route = self.find(flow)
@@ -77,10 +119,11 @@
     routes: typing.Iterable[tuple[str, int, Route]],
     idle_timeout_ms: int,
     slow_starts: typing.Mapping[str, warming.SlowStart] | None = None,
+    malformed_traits: tuple[str, ...] = (),
 ) -> Routes:
     """Return the routes of a version from their addresses and ports."""
     by_endpoint = {packet.endpoint_of(host, port): route for host, port, route in routes}
-    return Routes(version, by_endpoint, idle_timeout_ms, slow_starts or {})
+    return Routes(version, by_endpoint, idle_timeout_ms, slow_starts or {}, malformed_traits)
 
 
 class RouteTable:
--- a/src/ebonystile/daemon/tuning.py
+++ b/src/ebonystile/daemon/tuning.py
@@ -1,7 +1,8 @@
 """Convert the policy settings into the parameters of the cores."""
 
 from ebonystile import settings
-from ebonystile.core.calls import fairness, limits
+from ebonystile.core import fairness
+from ebonystile.core.calls import limits
 from ebonystile.core.placing import balance, placement, suspicion
 
 
--- a/src/ebonystile/platform/entries.py
+++ b/src/ebonystile/platform/entries.py
@@ -19,6 +19,9 @@
 
 STEP = "read the store"
 
+MAX_TRAIT_MS = 3_600_000
+"""Largest objective or timeout of a route's requests, in ms."""
+
 
 class Item(msgspec.Struct):
     """One item of the store; `tombstone` marks a deleted key. `value` is base64 in JSON.
@@ -80,7 +83,9 @@
     """A route: `host` is its address, `prefix` its port between slashes.
 
     `backends` splits new flows over services, `service` is the only one if it is empty.
-    `allowed_regions` names the regions whose upstreams may serve it, empty for all.
+    `allowed_regions` names the regions whose upstreams may serve it, empty for all. The last four
+    fields state the traits of its requests; they accept any value, as a malformed one must not
+    keep a configuration from coming into force.
     """
 
     name: str
@@ -89,6 +94,27 @@
     service: str = ""
     backends: list[ShareBody] = []
     allowed_regions: list[str] | None = None
+    type: typing.Any = None
+    latency_slo_ms: typing.Any = None
+    timeout_ms: typing.Any = None
+    priority: typing.Any = None
+
+
+class TraitsBody(msgspec.Struct):
+    """The traits of a route's requests; a null or missing field is not stated."""
+
+    type: typing.Literal["safe", "unsafe", "upload", "download"] | None = None
+    latency_slo_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_TRAIT_MS)] | None = None
+    timeout_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_TRAIT_MS)] | None = None
+    priority: typing.Annotated[int, msgspec.Meta(ge=0, le=1_000)] | None = None
+
+
+REQUEST_KINDS = {
+    "safe": routes.RequestKind.IDEMPOTENT,
+    "unsafe": routes.RequestKind.NON_IDEMPOTENT,
+    "upload": routes.RequestKind.UPLOAD,
+    "download": routes.RequestKind.DOWNLOAD,
+}
 
 
 class ServiceBody(msgspec.Struct):
@@ -165,11 +191,34 @@
 def routes_of(item: Item) -> routes.Routes:
     """Return the routes of a configuration; raise `PlatformError` if it is malformed."""
     body = decode(CONFIGURATION_DECODER, item.value)
+    traits = [traits_of(route) for route in body.routes]
     return routes.make_routes(
         body.version,
-        (route_of(route) for route in body.routes),
+        (
+            route_of(route, stated or routes.NO_TRAITS)
+            for route, stated in zip(body.routes, traits, strict=True)
+        ),
         body.limits.idle_timeout_ms,
         {service.name: slow_start_of(service) for service in body.services},
+        tuple(
+            route.name for route, stated in zip(body.routes, traits, strict=True) if stated is None
+        ),
+    )
+
+
+def traits_of(body: RouteBody) -> routes.RequestTraits | None:
+    """Return what a route states about its requests, or None if any of it is malformed."""
+    stated = {field: getattr(body, field) for field in TraitsBody.__struct_fields__}
+    try:
+        traits = msgspec.convert(stated, TraitsBody)
+    except msgspec.ValidationError:
+        return None
+    priority = routes.DEFAULT_PRIORITY if traits.priority is None else traits.priority
+    return routes.RequestTraits(
+        REQUEST_KINDS.get(traits.type),
+        int(traits.latency_slo_ms or 0),
+        int(traits.timeout_ms or 0),
+        priority,
     )
 
 
@@ -178,7 +227,9 @@
     return warming.SlowStart(int(body.warmup_s * 1_000), body.warmup_per_s)
 
 
-def route_of(body: RouteBody) -> tuple[str, int, routes.Route]:
+def route_of(
+    body: RouteBody, requests: routes.RequestTraits = routes.NO_TRAITS
+) -> tuple[str, int, routes.Route]:
     """Return address, port and route; raise `PlatformError` if the address or port is invalid."""
     shares = tuple((b.service, b.weight) for b in body.backends if b.weight > 0)
     shares = shares or ((body.service, 1),)
@@ -187,7 +238,11 @@
         reason = f'route "{body.name}": "{body.prefix}" is not a port between slashes'
         raise errors.PlatformError(reason, step=STEP, peer="platform")
     host = host_of(f"{body.host}:{port}")
-    return host, int(port), routes.Route(body.name, shares, tuple(body.allowed_regions or ()))
+    return (
+        host,
+        int(port),
+        routes.Route(body.name, shares, tuple(body.allowed_regions or ()), requests),
+    )
 
 
 def drained_zone_of(key: str) -> str:
--- a/src/ebonystile/platform/node.py
+++ b/src/ebonystile/platform/node.py
@@ -33,6 +33,7 @@
     "from_upstream": "sidecars: where the upstream sends its packets",
     "upstream": "sidecars: where the upstream takes packets",
     "service": "sidecars: the upstream's service",
+    "link_mbps": "rate of this instance's own link in each direction, in Mbit/s; 0 if not known",
     "metrics": "where counters and latencies are served, nowhere if left out",
 }
 """Meaning of each field of the settings."""
@@ -50,6 +51,7 @@
     "from_upstream": "ip:port",
     "upstream": "ip:port",
     "service": "name",
+    "link_mbps": "number from 0",
     "metrics": "ip:port",
 }
 """Format of each field."""
@@ -73,6 +75,7 @@
     from_upstream: str = ""
     upstream: str = ""
     service: str = ""
+    link_mbps: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
     metrics: str = ""
 
     @property
--- a/tests/carrier/test_feed.py
+++ b/tests/carrier/test_feed.py
@@ -240,3 +240,16 @@
     assert list(store_feed.fleet.upstreams) == ["u1"]
     store_feed.fleet.expire(clock.now() + fleet.RELIST_GRACE_MS + 1_000)
     assert not store_feed.fleet.upstreams
+
+
+def test_malformed_request_traits_are_logged_once_and_the_routes_are_in_force(store_feed):
+    """A malformed trait must not keep a newer configuration from coming into force."""
+    log = store_feed.log = store_feed.contents.log = Logged()
+    route = {"name": "r", "host": "198.18.0.1", "prefix": "/80/", "service": "s", "priority": "a"}
+    body = {"version": 41, "routes": [route]}
+    apply_watch(store_feed, [item(entries.CONFIGURATION_KEY, 41, body)], 41)
+    assert store_feed.route_table.routes.version == 41
+    logged = log.fields_of("route_traits_ignored")
+    assert [(fields["version"], fields["routes"], fields["first"]) for fields in logged] == [
+        (41, 1, "r")
+    ]
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -9,7 +9,7 @@
 
 from ebonystile import errors
 from ebonystile.core import positions
-from ebonystile.core.carrying import packet, reading
+from ebonystile.core.carrying import packet, reading, routes
 from ebonystile.platform import entries, store
 
 ENTRY = {
@@ -204,3 +204,44 @@
     assert f"&after={after}&" in store.build_path(asked, 1_000)
     answer = json.dumps({"events": [], "store_revision": after}).encode()
     assert store.parse_result(asked, 200, answer).revision == after
+
+
+def route_with(**fields):
+    route = {"name": "r", "host": "198.18.0.1", "prefix": "/80/", "service": "s", **fields}
+    body = {"version": 1, "routes": [route]}
+    return entries.routes_of(item(body, entries.CONFIGURATION_KEY))
+
+
+def traits(made):
+    return made.traits_of(bytes(6) + packet.endpoint_of("198.18.0.1", 80))
+
+
+def test_a_route_states_the_traits_of_its_requests():
+    made = route_with(type="upload", latency_slo_ms=1089, timeout_ms=5445.0, priority=0)
+    assert traits(made) == routes.RequestTraits(routes.RequestKind.UPLOAD, 1089, 5445, 0)
+    assert not made.malformed_traits
+
+
+def test_a_route_without_traits_has_the_defaults():
+    assert traits(route_with()) == routes.NO_TRAITS
+    assert traits(route_with(type=None, priority=None)) == routes.NO_TRAITS
+
+
+@pytest.mark.parametrize(
+    "malformed",
+    [
+        {"type": "bulk"},
+        {"type": 1},
+        {"latency_slo_ms": "300"},
+        {"latency_slo_ms": -1},
+        {"timeout_ms": 1e12},
+        {"timeout_ms": [1]},
+        {"priority": -1},
+        {"priority": 0.5},
+    ],
+)
+def test_malformed_traits_are_left_out_and_the_route_stays_in_force(malformed):
+    """A malformed trait must not keep a whole configuration from coming into force."""
+    made = route_with(**{"type": "safe", "latency_slo_ms": 300, **malformed})
+    assert made.version == 1 and traits(made) == routes.NO_TRAITS
+    assert made.malformed_traits == ("r",)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -2,7 +2,7 @@
 
 import random
 
-from ebonystile.core.calls import fairness
+from ebonystile.core import fairness
 
 SECOND = 1000
 
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -4,8 +4,8 @@
 
 import tests.wire as wires
 from ebonystile.caller import messages as caller_messages
-from ebonystile.core import view
-from ebonystile.core.calls import events, fairness, progress, siblings
+from ebonystile.core import fairness, view
+from ebonystile.core.calls import events, progress, siblings
 from ebonystile.core.placing import balance
 from ebonystile.peer import messages
 
