State the interface of the scheduling in front of a narrow link

Cause: admission of new flows needs the wait that this balancer's link adds, and whether the link is narrower than configured, before the scheduling itself is built.

Nothing is sent through it yet.

Before: no interface.

--- a/src/ebonystile/core/carrying/balancer_state.py
+++ b/src/ebonystile/core/carrying/balancer_state.py
@@ -19,6 +19,7 @@
     messages,
     packet,
     routes,
+    scheduling,
 )
 
 FAN_OUT_MESSAGES_PER_S, FAN_OUT_BURST = 1_000, 300
@@ -55,7 +56,10 @@
 
 
 class BalancerState:
-    """The state of one balancer."""
+    """The state of one balancer.
+
+    `link` schedules what is sent; None where the link needs no scheduling.
+    """
 
     def __init__(
         self, zone: str, now: int, seeds: tuple[view.Address, ...] = (), *, is_seed: bool = False
@@ -83,6 +87,7 @@
         self.ask_batch = batches.AskBatch()
         self.probe_batch = batches.ProbeBatch()
         self.fan_out_budget = budget.Budget(FAN_OUT_MESSAGES_PER_S, FAN_OUT_BURST)
+        self.link: scheduling.LinkScheduler | None = None
 
     def next_due(self) -> int | None:
         """Return the time in ms at which `on_due` must run next, or None."""
