Place new flows by predicted finish where their route states an objective

Cause: the latency that sidecars reported was a mean over all kinds of requests and included the wait for a slot, and balancers used it from twice the median only. Upstreams at half the speed got as much work as others, and a short request counted as an error beside long ones.

Change: a sidecar measures service times by route, from when a slot was free for the request, and answers with that of the flow's route. A balancer chooses the earliest predicted finish; differences below a quarter of the median leave the choice to cost and rank, so alike upstreams are chosen as before. Nothing is measured, and nothing changes, while no route states an objective.

The wait is predicted with the service time of the flow's own route, as the formats carry no other.

--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -60,7 +60,12 @@
     if holder is not None:
         return place_flow(state, search, holder, now)
     chosen = placing.pick_best(
-        placing.compare_candidates(estimate_loads(state, search), state.zone, now)
+        placing.compare_candidates(
+            estimate_loads(state, search),
+            state.zone,
+            now,
+            state.route_table.routes.traits_of(search.flow),
+        )
     )
     if chosen is None or not search.is_round_over(now):
         return None
@@ -173,6 +178,8 @@
     load = chosen.load
     return {
         "cost": round(chosen.cost, 2),
+        "wait_ms": round(chosen.wait_ms),
+        "finish_ms": round(chosen.finish_ms),
         "running": load.running,
         "flows": load.flows,
         "latency_ms": load.latency,
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -7,7 +7,7 @@
 import dataclasses
 import typing
 
-from ebonystile.core.carrying import fleet, messages, packet
+from ebonystile.core.carrying import fleet, messages, packet, predicting, routes, zones
 from ebonystile.core.placing import ranking
 
 FIRST_ROUND_IN_ZONE = 8
@@ -56,13 +56,20 @@
     """The rating of an upstream for a new flow.
 
     `cost` is its load per slot including the new flow, increased if it is in slow start, slow or
-    failing; `healthy` is set unless it fails more often than the others.
+    failing; `healthy` is set unless it fails more often than the others. Where the route states an
+    objective, `wait_ms` is the predicted wait for a slot, and `finish_ms` the predicted finish,
+    increased in the same way and for another availability zone; differences up to `noise_ms` are
+    ignored. `has_short_queue` is set if there is no need to look for a better upstream.
     """
 
     upstream: fleet.Upstream
     load: messages.Load
     cost: float
     healthy: bool
+    wait_ms: float = 0.0
+    finish_ms: float = 0.0
+    noise_ms: float = 0.0
+    has_short_queue: bool = True
 
     @property
     def unavailability(self) -> tuple[bool, bool]:
@@ -71,9 +78,8 @@
 
     @property
     def is_uncongested(self) -> bool:
-        """Return whether the upstream is available, healthy and has no queued requests."""
-        load = self.load
-        return not any(self.unavailability) and load.running <= load.slots and self.healthy
+        """Return whether the upstream is available, healthy and has a short queue or none."""
+        return not any(self.unavailability) and self.has_short_queue and self.healthy
 
     @property
     def is_overloaded(self) -> bool:
@@ -89,7 +95,10 @@
 
 
 def compare_candidates(
-    answers: typing.Iterable[tuple[fleet.Upstream, messages.Load]], zone: str, now: int
+    answers: typing.Iterable[tuple[fleet.Upstream, messages.Load]],
+    zone: str,
+    now: int,
+    requests: routes.RequestTraits = routes.NO_TRAITS,
 ) -> list[Candidate]:
     """Return the ratings of the upstreams that accept flows, in the order given.
 
@@ -97,10 +106,11 @@
     healthy while requests hang, and its own load report may be stale.
     """
     accepting = [(upstream, load) for upstream, load in answers if load.accepting]
-    load_per_flow = mean_load_per_flow([load for _, load in accepting])
-    median_ms = median_latency([load for _, load in accepting])
-    best_success_rate = max((load.success_rate for _, load in accepting), default=1.0)
-    return [
+    loads = [load for _, load in accepting]
+    load_per_flow = mean_load_per_flow(loads)
+    median_ms = 0.0 if requests.objective_ms else predicting.median_latency(loads)
+    best_success_rate = max((load.success_rate for load in loads), default=1.0)
+    candidates = [
         Candidate(
             upstream,
             load,
@@ -108,9 +118,36 @@
             / relative_success_rate(load, best_success_rate) ** 2
             + ZONE_COST * (upstream.zone != zone),
             relative_success_rate(load, best_success_rate) >= HEALTHY_SUCCESS_RATE,
+            has_short_queue=load.running <= load.slots,
         )
         for upstream, load in accepting
     ]
+    if requests.objective_ms:
+        predict_finishes(candidates, zone, now, requests)
+    return candidates
+
+
+def predict_finishes(
+    candidates: list[Candidate], zone: str, now: int, requests: routes.RequestTraits
+) -> None:
+    """Set the predicted waits and finishes of the candidates for requests with an objective."""
+    loads = [s.load for s in candidates]
+    load_per_flow = mean_load_per_flow(loads)
+    best_success_rate = max((load.success_rate for load in loads), default=1.0)
+    typical_ms = predicting.typical_service_ms(loads, requests)
+    for s in candidates:
+        s.noise_ms = predicting.NOISE_SHARE * typical_ms
+        s.wait_ms = predicting.predicted_wait_ms(s.load, typical_ms)
+        expected_requests = s.load.flows * load_per_flow
+        s.finish_ms = predicting.predicted_finish_ms(s.load, typical_ms, expected_requests)
+        if now < s.upstream.slow_start_until:
+            s.finish_ms *= SLOW_START_COST_FACTOR
+        s.finish_ms /= relative_success_rate(s.load, best_success_rate) ** 2
+    own = [s.finish_ms for s in candidates if s.upstream.zone == zone and not any(s.unavailability)]
+    crossing_ms = zones.crossing_cost_ms(requests, min(own, default=None))
+    for s in candidates:
+        s.has_short_queue = s.wait_ms <= crossing_ms and s.finish_ms <= requests.objective_ms
+        s.finish_ms += crossing_ms * (s.upstream.zone != zone)
 
 
 def mean_load_per_flow(loads: list[messages.Load]) -> float:
@@ -120,12 +157,6 @@
     return min(MAX_LOAD_PER_FLOW, running / flows) if flows else 0.0
 
 
-def median_latency(loads: list[messages.Load]) -> float:
-    """Return the lower median of the known latencies in ms, 0 if there are none."""
-    latencies = sorted(load.latency for load in loads if load.latency)
-    return latencies[(len(latencies) - 1) // 2] if latencies else 0.0
-
-
 def placement_cost(
     upstream: fleet.Upstream, load: messages.Load, load_per_flow: float, median_ms: float, now: int
 ) -> float:
@@ -144,18 +175,22 @@
 
 
 def pick_best(candidates: typing.Sequence[Candidate]) -> Candidate | None:
-    """Return the available upstream of the least cost, or None without upstreams.
+    """Return the available upstream of the earliest predicted finish, or None without upstreams.
 
-    An unavailable one is returned only if all are. The first of equally loaded ones wins.
+    The cost decides among those whose finish is nearly the same, and where none is predicted. An
+    unavailable upstream is returned only if all are. The first of equally loaded ones wins.
     """
     if not candidates:
         return None
-    cheapest = min(candidates, key=lambda s: (s.unavailability, s.cost))
-    equals = [
+    fastest = min(candidates, key=lambda s: (s.unavailability, s.finish_ms))
+    in_time = [
         s
         for s in candidates
-        if s.unavailability == cheapest.unavailability and s.cost <= cheapest.cost + COST_TOLERANCE
+        if s.unavailability == fastest.unavailability
+        and s.finish_ms <= fastest.finish_ms + fastest.noise_ms
     ]
+    cheapest = min(in_time, key=lambda s: s.cost)
+    equals = [s for s in in_time if s.cost <= cheapest.cost + COST_TOLERANCE]
     return equals[0]
 
 
--- a/src/ebonystile/core/carrying/routes.py
+++ b/src/ebonystile/core/carrying/routes.py
@@ -81,6 +81,7 @@
     `by_endpoint` maps encoded endpoints to their routes. `idle_timeout_ms` is the idle
     timeout of flows in ms. `slow_starts` gives the slow start of upstreams by service.
     `malformed_traits` names the routes whose request traits were malformed and left out.
+    `states_objectives` is set if any route states an objective.
     """
 
     version: int
@@ -88,6 +89,7 @@
     idle_timeout_ms: int
     slow_starts: typing.Mapping[str, warming.SlowStart] = dataclasses.field(default_factory=dict)
     malformed_traits: tuple[str, ...] = ()
+    states_objectives: bool = False
 
     def find(self, flow: packet.Flow) -> Route | None:
         """Return the route of the flow, or None if there is none."""
@@ -123,7 +125,15 @@
 ) -> Routes:
     """Return the routes of a version from their addresses and ports."""
     by_endpoint = {packet.endpoint_of(host, port): route for host, port, route in routes}
-    return Routes(version, by_endpoint, idle_timeout_ms, slow_starts or {}, malformed_traits)
+    states_objectives = any(route.requests.objective_ms for route in by_endpoint.values())
+    return Routes(
+        version,
+        by_endpoint,
+        idle_timeout_ms,
+        slow_starts or {},
+        malformed_traits,
+        states_objectives,
+    )
 
 
 class RouteTable:
--- a/src/ebonystile/core/carrying/sidecar.py
+++ b/src/ebonystile/core/carrying/sidecar.py
@@ -128,6 +128,8 @@
             self.list_grown_at = now
         if self.is_view_current and self.first_view is None:
             self.first_view = frozenset(self.fleet.upstreams)
+        if listed is not None:
+            self.table.slots.slots = max(1, listed.slots)
         if listed is None or listed.service != self.service or self.first_view is None:
             return
         if (
@@ -229,7 +231,10 @@
         """Return the answer to a balancer's question about the flow."""
         status = self.flow_status(flow, acknowledged, now)
         version = self.route_table.routes.version
-        return messages.Answer(flow, version, status, self.load(now), self.revision)
+        load = self.load(now)
+        if self.route_table.routes.traits_of(flow).objective_ms:
+            load.latency = round(self.table.service_time_ms(flow, now))
+        return messages.Answer(flow, version, status, load, self.revision)
 
     def make_return(self, reason: messages.Reason, raw: bytes) -> messages.Return:
         """Return the message that returns a packet to the balancer it came from."""
@@ -238,6 +243,7 @@
     def on_tick(self, now: int) -> list[effects.Effect]:
         """Drop expired state, and return the announcements and log entries that are due."""
         self.fleet.expire(now)
+        self.table.set_measures_service_times(self.route_table.routes.states_objectives)
         self.table.expire(self.route_table.routes.idle_timeout_ms, now)
         oldest = now - self.route_table.routes.idle_timeout_ms
         self.absent = {f: at for f, at in self.absent.items() if at > oldest}
@@ -343,7 +349,7 @@
         if sent.opens:
             if record is None or record.is_held:
                 return []
-            self.table.remove(sent.flow)
+            self.table.remove(sent.flow, now)
             back = self.make_return(messages.Reason.FULL, sent.raw)
             return [
                 effects.trace("open_returned", flow=packet.flow_text(sent.flow)),
@@ -354,14 +360,14 @@
         if record is not None and record.is_held and not record.is_closed:
             # The upstream has restarted or dropped the flow. Without a reset the caller would
             # retransmit until its timeout.
-            self.table.remove(sent.flow)
+            self.table.remove(sent.flow, now)
             self.slow_start.record_restart(now)
             age = now - record.opened_at
             return [
                 effects.trace("flow_lost", flow=packet.flow_text(sent.flow), opened_ms_ago=age),
                 effects.Reset(sent.flow, sent.acknowledged),
             ]
-        self.table.remove(sent.flow)
+        self.table.remove(sent.flow, now)
         if probe is None:
             return []
         return [effects.Send(probe.source, self.make_absent_reply(sent, probe.packet_kept, now))]
@@ -460,7 +466,7 @@
         return sidecar.probe_upstream(received, source, now, packet_kept=False)
     record = sidecar.table.flows[received.flow]
     if record.is_held and not received.aborts and sidecar.has_lost_upstream(record, now):
-        sidecar.table.remove(received.flow)
+        sidecar.table.remove(received.flow, now)
         return [
             effects.trace(
                 "flow_lost", flow=packet.flow_text(received.flow), reason="upstream_gone"
--- a/src/ebonystile/core/carrying/table.py
+++ b/src/ebonystile/core/carrying/table.py
@@ -4,7 +4,7 @@
 import typing
 
 from ebonystile.core import view
-from ebonystile.core.carrying import messages, packet
+from ebonystile.core.carrying import messages, packet, service_times
 
 MAX_FLOWS = 50_000
 """Bound on the size of the flow table; the oldest flow makes room for a new one."""
@@ -79,24 +79,36 @@
 class RequestStats:
     """Moving averages of the latency and the failure rate of one upstream's requests.
 
-    `latency` is in ms; `failure_rate` was updated at `updated_at` (ms). `on_answer`, if set, is
-    called with the time and the latency of each answer, both in ms.
+    `latency` is in ms, over the requests of all routes, and includes the wait for a slot;
+    `service_times` does not. `failure_rate` was updated at `updated_at` (ms). `on_answer`, if set,
+    is called with the time and the latency of each answer, both in ms.
     """
 
     def __init__(self) -> None:
         self.latency = 0.0
+        self.service_times = service_times.ServiceTimes()
         self.failure_rate = 0.0
         self.updated_at = 0
         self.on_answer: typing.Callable[[int, int], None] | None = None
 
-    def record_answer(self, since: int, now: int) -> None:
-        """Record the answer to a request sent at `since`; one that is far too fast is a failure."""
+    def record_answer(
+        self, since: int, now: int, route: bytes | None = None, slot_since: int = 0
+    ) -> None:
+        """Record the answer to a request that arrived at `since`; one far too fast is a failure.
+
+        `route` is given if service times are measured, with the time in ms since when a slot was
+        free for the request.
+        """
         took = now - since
         if self.on_answer is not None:
             self.on_answer(now, took)
-        if took < self.latency / MAX_SPEEDUP:
+        if took < self.latency / MAX_SPEEDUP and (
+            route is None or self.service_times.is_far_too_fast(route, now - slot_since)
+        ):
             self.record_result(1.0, now)
             return
+        if route is not None:
+            self.service_times.record(route, now - slot_since, now)
         self.latency += (took - self.latency) / LATENCY_WINDOW_REQUESTS if self.latency else took
         self.record_result(0.0, now)
 
@@ -119,11 +131,14 @@
     """The flows of one upstream and its requests in progress.
 
     `busy` holds when the running request of a flow arrived, `pending` when a flow without a request
-    was opened, both in ms and oldest first.
+    was opened, both in ms and oldest first. Service times are measured only while a route states an
+    objective, as nothing else uses them.
     """
 
     def __init__(self) -> None:
         self.request_stats = RequestStats()
+        self.measures_service_times = False
+        self.slots = service_times.SlotTracker()
         self.flows: dict[packet.Flow, FlowRecord] = {}
         self.busy: dict[packet.Flow, int] = {}
         self.pending: dict[packet.Flow, int] = {}
@@ -139,14 +154,14 @@
     def add(self, flow: packet.Flow, source: view.Address, now: int) -> FlowRecord:
         """Add a flow; drop the oldest one if the table is full."""
         if len(self.flows) >= MAX_FLOWS:
-            self.remove(next(iter(self.flows)))
+            self.remove(next(iter(self.flows)), now)
         record = self.flows[flow] = FlowRecord(source, now, now)
         return record
 
-    def remove(self, flow: packet.Flow) -> None:
+    def remove(self, flow: packet.Flow, now: int) -> None:
         """Remove a flow and its request, if any."""
         self.flows.pop(flow, None)
-        self.busy.pop(flow, None)
+        self.end_request(flow, now)
         self.pending.pop(flow, None)
 
     def on_caller_packet(self, record: FlowRecord, received: packet.Packet, now: int) -> None:
@@ -157,7 +172,7 @@
             record.closed_by_caller = True
         if received.aborts:
             record.closed_by_caller = record.closed_by_upstream = True
-            if self.busy.pop(received.flow, None) is not None:
+            if self.end_request(received.flow, now) is not None:
                 self.request_stats.record_failure(now)
         if not received.length:
             return
@@ -169,7 +184,45 @@
             record.request_end = end
             self.busy.pop(received.flow, None)
             self.busy[received.flow] = now
+            if self.measures_service_times:
+                self.slots.arrive(received.flow, now)
             self.pending.pop(received.flow, None)
+        elif self.measures_service_times and self.fills_gap(record, received.flow, end):
+            self.slots.arrive(received.flow, now)
+
+    def fills_gap(self, record: FlowRecord, flow: packet.Flow, end: int) -> bool:
+        """Return whether a packet that ends at `end` may complete a request.
+
+        A packet of the request was lost and is sent again after later ones.
+        """
+        return flow in self.busy and end != record.request_end
+
+    def end_request(self, flow: packet.Flow, now: int) -> int | None:
+        """End a flow's request; return since when it ran or waited, None if there was none."""
+        since = self.busy.pop(flow, None)
+        if since is not None and self.measures_service_times:
+            self.slots.release(flow, now)
+        return since
+
+    def record_answer(self, flow: packet.Flow, since: int, now: int) -> None:
+        """Record the answer to the request of a flow that arrived at `since` (ms)."""
+        del self.busy[flow]
+        if not self.measures_service_times:
+            self.request_stats.record_answer(since, now)
+            return
+        slot_since = self.slots.release(flow, now)
+        route = packet.route_endpoint(flow)
+        self.request_stats.record_answer(
+            since, now, route, since if slot_since is None else slot_since
+        )
+
+    def set_measures_service_times(self, is_enabled: bool) -> None:
+        """Begin or stop to measure service times."""
+        if is_enabled == self.measures_service_times:
+            return
+        self.measures_service_times = is_enabled
+        self.request_stats.service_times = service_times.ServiceTimes()
+        self.slots = service_times.SlotTracker(self.slots.slots)
 
     def on_upstream_packet(self, record: FlowRecord, sent: packet.Packet, now: int) -> None:
         """Record a packet of the upstream: data completes the flow's request."""
@@ -180,10 +233,9 @@
             return
         since = self.busy.get(sent.flow)
         if since is not None and sent.length:
-            del self.busy[sent.flow]
-            self.request_stats.record_answer(since, now)
+            self.record_answer(sent.flow, since, now)
         elif since is not None and (sent.aborts or closes_unanswered(record, sent)):
-            del self.busy[sent.flow]
+            self.end_request(sent.flow, now)
             self.request_stats.record_failure(now)
         if sent.length:
             record.answer_end = (sent.sequence + sent.length) % SEQUENCE_MODULUS
@@ -210,16 +262,22 @@
     def running_requests(self, now: int) -> int:
         """Return the number of running requests and of flows about to send one; fail stuck ones."""
         stuck = max(STUCK_REQUEST_MS, STUCK_LATENCY_RATIO * self.request_stats.latency)
-        for _ in remove_older(self.busy, now - stuck):
+        for flow in remove_older(self.busy, now - stuck):
+            self.slots.release(flow, now)
             self.request_stats.record_failure(now)
         remove_older(self.pending, now - PENDING_REQUEST_MS)
         return len(self.busy) + len(self.pending)
 
+    def service_time_ms(self, flow: packet.Flow, now: int) -> float:
+        """Return the expected service time of a request of the flow's route, 0 if unknown."""
+        route = packet.route_endpoint(flow)
+        return self.request_stats.service_times.estimate_ms(route, self.slots, now)
+
     def expire(self, idle: int, now: int) -> int:
         """Remove flows that ended or were idle for `idle` ms; return how many."""
         over = [flow for flow, record in self.flows.items() if now >= expiry_time(record, idle)]
         for flow in over:
-            self.remove(flow)
+            self.remove(flow, now)
         return len(over)
 
 
--- a/tests/carrying/test_table.py
+++ b/tests/carrying/test_table.py
@@ -163,7 +163,7 @@
             flow_table.on_upstream_packet(record, upstream_packet(flags=packets.RST), at)
         else:
             flow_table.on_caller_packet(record, request_packet(flags=packets.RST, data=b""), at)
-        flow_table.remove(FLOW)
+        flow_table.remove(FLOW, at)
     bad = 1 - flow_table.request_stats.success_rate(1_007)
     assert bad > 0.6
     assert 1 - flow_table.request_stats.success_rate(
