--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -136,7 +136,7 @@
     best_success_rate = max((load.success_rate for load in loads), default=1.0)
     typical_ms = predicting.typical_service_ms(loads, requests)
     for s in candidates:
-        s.noise_ms = predicting.NOISE_SHARE * typical_ms
+        s.noise_ms = max(predicting.MIN_NOISE_MS, predicting.NOISE_SHARE * typical_ms)
         s.wait_ms = predicting.predicted_wait_ms(s.load, typical_ms)
         expected_requests = s.load.flows * load_per_flow
         s.finish_ms = predicting.predicted_finish_ms(s.load, typical_ms, expected_requests)
--- a/src/ebonystile/core/carrying/predicting.py
+++ b/src/ebonystile/core/carrying/predicting.py
@@ -11,6 +11,10 @@
 upstream, and the next one a moment later.
 """
 
+MIN_NOISE_MS = 3.0
+"""Least difference of predicted finishes that counts, in ms: service times are measured in whole
+milliseconds, and those of short requests would differ by a quarter from rounding alone."""
+
 UNKNOWN_SHARE = 0.1
 """Service time, as a share of the objective, that is assumed while no sidecar reports one."""
 
