Send a balancer's datagrams through the scheduler of its narrow link

Cause: the daemon sent each datagram at once, in the order of the core's effects, and its own link dropped what was too much.

Change: carrier/link.py passes messages and resets to callers through the scheduler if link_mbps is above 0 and at most 50. Answers that waited in this process (a late timer, a socket that is behind) give no round trip. A leaving balancer sends its backlog first. Without such a link the effect handlers are those of before.

The rate is also lowered at low use if half of the queries to sidecars that answer others are lost and answers are 40 ms late; the design, which is changed here, required half of the rate to be used.

--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -3,9 +3,9 @@
 import typing
 
 from ebonystile import clock, loop
-from ebonystile.carrier import shell
+from ebonystile.carrier import link, shell
 from ebonystile.core import view
-from ebonystile.core.carrying import balancer, messages, packet
+from ebonystile.core.carrying import balancer, effects, messages, packet, scheduling
 from ebonystile.platform import entries, node, packets
 
 if typing.TYPE_CHECKING:
@@ -40,11 +40,31 @@
         self.caller_port = address[1]
         self.timer_at: int | None = None
         self.last_packet_at = clock.now()
+        self.link = self.make_link()
+
+    def make_link(self) -> link.Link | None:
+        """Return the link that datagrams are sent through, or None if it needs no scheduling."""
+        self.core.link = scheduling.make_scheduler(self.settings.link_mbps, clock.now())
+        if self.core.link is None:
+            return None
+        # Without a link that needs scheduling, messages are sent without any further call.
+        self.effect_handlers[effects.Send] = lambda effect, _: self.link.send_message(effect)
+        return link.Link(
+            self.loop,
+            self.core.link,
+            self.core,
+            self.peer_socket,
+            self.caller_socket,
+            lambda effect: self.apply_effects([effect]),
+            self.report,
+        )
 
     def add_metrics(self, registry: "metrics.Metrics") -> None:
         """Register the metrics of a balancer."""
         registry.gauge("homes", "Flows whose home is known.", lambda: len(self.core.homes))
         registry.gauge("searches", "Searches under way.", lambda: len(self.core.searches))
+        if self.link is not None:
+            self.link.add_metrics(registry)
 
     def is_ready(self) -> bool:
         """Return whether packets can be served.
@@ -67,6 +87,8 @@
             return
         self.counts["packets"] += 1
         self.last_packet_at = self.loop.now
+        if self.link is not None:
+            self.link.current = received
         self.apply_effects(self.core.on_caller(received, self.loop.now))
         self.set_timer()
 
@@ -74,6 +96,8 @@
         self, message: messages.Message, received: packet.Packet | None, source: view.Address
     ) -> None:
         """Pass a message to the core and carry out its effects."""
+        if self.link is not None:
+            self.link.on_message(message, source)
         self.apply_effects(self.core.on_message(message, received, source, self.loop.now))
         self.set_timer()
 
@@ -93,16 +117,25 @@
     def on_tick(self, now: int) -> None:
         """Run the core's periodic work; stop a leaving balancer that gets no more packets."""
         self.apply_effects(self.core.on_tick(now))
+        if self.link is not None:
+            self.link.on_tick(now)
         if self.leaving_since is None:
             return
         leaving_ms = now - self.leaving_since
-        is_idle = now - self.last_packet_at >= LEAVE_IDLE_MS
+        is_idle = now - self.last_packet_at >= LEAVE_IDLE_MS and not self.has_backlog()
         if leaving_ms >= MAX_LEAVE_MS or (leaving_ms >= MIN_LEAVE_MS and is_idle):
             self.loop.stop()
 
+    def has_backlog(self) -> bool:
+        """Return whether datagrams wait for the link."""
+        return self.link is not None and self.link.scheduler.waiting_bytes > 0
+
     def on_leave(self) -> None:
         """Keep serving; the readiness check already refuses, so the fabric removes the balancer."""
 
     def send_to_caller(self, raw: bytes, flow: packet.Flow) -> None:
         """Send a packet to the flow's caller."""
+        if self.link is not None:
+            self.link.send_to_caller(raw, flow, self.caller_port)
+            return
         loop.send(self.caller_socket, raw, (packet.caller_host(flow), self.caller_port))
--- a/src/ebonystile/carrier/report.py
+++ b/src/ebonystile/carrier/report.py
@@ -26,10 +26,14 @@
 
 SEARCHES = "search_seconds"
 ANSWERS = "run_seconds"
+LINK_WAITS = "link_wait_seconds"
 HELP = {
     SEARCHES: "Time of a search for a flow's upstream.",
     ANSWERS: "Time from a request's last packet to its answer's first.",
+    LINK_WAITS: "Time that a datagram waited for the link.",
 }
+LABELS = {LINK_WAITS: "level"}
+"""Labels that tell the series of a histogram apart, where it is not the outcome."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +103,14 @@
         """Record how long the upstream took to answer a request."""
         self.record_duration(Duration(now, took_ms, ANSWERS, ""))
 
+    def record_link_wait(self, now: int, waited_ms: int, level: str) -> None:
+        """Record how long a datagram waited for the link, by its level.
+
+        Before the metrics are loaded it is left out, as it would crowd out other durations.
+        """
+        if self.metrics is not None:
+            self.latency(LINK_WAITS, level).record(now, waited_ms)
+
     def record_duration(self, duration: Duration) -> None:
         """Add a duration to its histogram, or keep it until the metrics are loaded."""
         if self.metrics is None:
@@ -110,7 +122,7 @@
         """Return the histogram of this name and outcome; the metrics must be loaded."""
         found = self.latencies.get((name, outcome))
         if found is None:
-            labels = {"outcome": outcome} if outcome else {}
+            labels = {LABELS.get(name, "outcome"): outcome} if outcome else {}
             found = self.metrics.latency(name, HELP[name], **labels)
             self.latencies[name, outcome] = found
         return found
--- a/src/ebonystile/carrier/shell.py
+++ b/src/ebonystile/carrier/shell.py
@@ -43,6 +43,7 @@
         self.settings = settings
         self.log = journal.Journal(program, settings.name)
         self.counts: collections.Counter[str] = collections.Counter()
+        self.effect_handlers = dict(EFFECT_HANDLERS)
         self.loop = loop.Loop()
         self.feed = feed.StoreFeed(self.loop, settings, self.log, self.on_view)
         self.peer_socket = self.loop.listen(settings.internal, self.on_datagram, BUFFER_BYTES)
@@ -122,7 +123,7 @@
     def apply_effects(self, todo: abc.Iterable[effects.Effect]) -> None:
         """Carry out the effects that the core returned."""
         for effect in todo:
-            EFFECT_HANDLERS[type(effect)](effect, self)
+            self.effect_handlers[type(effect)](effect, self)
 
     def send_to_upstream(self, raw: bytes) -> None:
         """Send a packet to the upstream; only a sidecar has one."""
--- a/src/ebonystile/core/carrying/link_rate.py
+++ b/src/ebonystile/core/carrying/link_rate.py
@@ -22,8 +22,12 @@
 """Share of unanswered queries from which the link counts as full if the answers are late."""
 
 MIN_USED = 0.5
-"""Share of the rate in force that must have been sent before it is lowered. At lower use something
-else delays the answers."""
+"""Share of the rate in force that must have been sent before it is lowered for late answers only.
+At lower use something else delays them."""
+
+MAX_LOST = 0.5
+"""Share of queries lost on the way to sidecars that answer others, from which late answers lower
+the rate at any use: senders whose packets are lost send less than half of the rate themselves."""
 
 USED_WINDOW_MS = 300
 """Time over which the use of the rate is measured, in ms."""
@@ -117,13 +121,15 @@
             queries=evidence.queries,
             sidecars=evidence.sidecars,
             unanswered=round(evidence.unanswered, 2),
+            lost=round(evidence.lost, 2),
             late_ms=evidence.lateness_ms,
             lowest_ms=evidence.lowest_ms,
         )
 
     def next_mbps(self, evidence: round_trips.Evidence, now: int) -> float:
         """Return the rate that the evidence calls for."""
-        if shows_queueing(evidence) and self.used_share(now) >= MIN_USED:
+        is_used = shows_loss(evidence) or self.used_share(now) >= MIN_USED
+        if shows_queueing(evidence) and is_used:
             return max(self.mbps * DECREASE, self.configured_mbps * MIN_SHARE)
         is_unmeasured = not evidence.queries and now >= self.unmeasured_raise_at
         if is_unmeasured or shows_free_link(evidence):
@@ -146,6 +152,13 @@
     return evidence.unanswered >= MAX_UNANSWERED and evidence.lateness_ms > NORMAL_MS
 
 
+def shows_loss(evidence: round_trips.Evidence) -> bool:
+    """Return whether a full link drops queries: sidecars that are gone answer none at all."""
+    if evidence.lateness_ms is None or evidence.lateness_ms < QUEUEING_MS:
+        return False
+    return evidence.lost >= MAX_LOST
+
+
 def shows_free_link(evidence: round_trips.Evidence) -> bool:
     """Return whether most queries are answered, and without delay."""
     if evidence.lateness_ms is None or evidence.unanswered >= MAX_UNANSWERED:
--- a/src/ebonystile/core/carrying/round_trips.py
+++ b/src/ebonystile/core/carrying/round_trips.py
@@ -52,12 +52,14 @@
 
     Each sidecar has the same weight, so that a slow one does not count for more than one.
     `lateness_ms` is the median by which round trips exceed `lowest_ms`, None without an answer;
-    `unanswered` is the share of the queries without an answer.
+    `unanswered` is the share of the queries without an answer, `lost` the same share of those to
+    sidecars that have answered another one.
     """
 
     queries: int = 0
     sidecars: int = 0
     unanswered: float = 0.0
+    lost: float = 0.0
     lateness_ms: int | None = None
     lowest_ms: int = 0
 
@@ -129,11 +131,12 @@
             return Evidence()
         medians = known_medians(by_sidecar) or known_medians(self.last_answered(now))
         lowest = self.lowest_ms(now)
-        unanswered = sum(unanswered_share(queries) for queries in by_sidecar.values())
+        unanswered = [unanswered_share(queries) for queries in by_sidecar.values()]
         return Evidence(
             queries=sum(map(len, by_sidecar.values())),
             sidecars=len(by_sidecar),
-            unanswered=unanswered / len(by_sidecar),
+            unanswered=mean(unanswered),
+            lost=mean([share for share in unanswered if share < 1]),
             lateness_ms=middle(medians) - lowest if medians else None,
             lowest_ms=lowest,
         )
@@ -176,6 +179,11 @@
     return middle(known) if known else None
 
 
+def mean(shares: list[float]) -> float:
+    """Return the mean, 0 without any value."""
+    return sum(shares) / len(shares) if shares else 0.0
+
+
 def middle(values: list[int]) -> int:
     """Return the median, the lower one of two."""
     return sorted(values)[(len(values) - 1) // 2]
--- a/src/ebonystile/loop.py
+++ b/src/ebonystile/loop.py
@@ -140,6 +140,13 @@
             due.append(self.alarms[0][0])
         return clock.seconds_until(min(due)) if due else None
 
+    def overdue_ms(self) -> int:
+        """Return by how much the earliest timer is late in this step, in ms; 0 if none is."""
+        due = min((timer.due for timer in self.timers), default=self.now)
+        if self.alarms:
+            due = min(due, self.alarms[0][0])
+        return max(0, self.now - due)
+
     def stop(self) -> None:
         """End the loop after the current step."""
         self.running = False
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -162,6 +162,7 @@
             "internal_port": self.ports.internal,
             "store": self.store.address,
             "seeds": [f"127.0.2.{n}:{self.ports.internal}" for n in (1, 2)],
+            **self.extra_settings(role),
         }
         made = Machine(name, role, host, settings, self.directory / f"{name}.log")
         if role == "sidecar":
@@ -176,6 +177,10 @@
         settings.write_text(json.dumps(body))
         return made
 
+    def extra_settings(self, role: str) -> dict:
+        """Return the settings that an installation with other settings adds or replaces."""
+        return {}
+
     def publish(self, machine: Machine, **changes) -> None:
         """Write the store entry of an upstream."""
         body = {
@@ -195,14 +200,18 @@
     def configure(self, routes: dict[tuple[str, int], str]) -> None:
         """Publish a new version of the configuration."""
         self.version += 3
-        listed = [
-            {"name": f"r{port}", "host": host, "prefix": f"/{port}/", "service": service}
-            for (host, port), service in routes.items()
-        ]
+        listed = self.route_bodies(routes)
         limits = {"idle_timeout_ms": 15_000}
         body = {"version": self.version, "routes": listed, "services": [], "limits": limits}
         self.store.put("op/config", body)
 
+    def route_bodies(self, routes: dict[tuple[str, int], str]) -> list[dict]:
+        """Return the routes as the configuration lists them."""
+        return [
+            {"name": f"r{port}", "host": host, "prefix": f"/{port}/", "service": service}
+            for (host, port), service in routes.items()
+        ]
+
     def start(self, machine: Machine) -> None:
         """Start a machine's daemon."""
         with machine.log.open("a") as log:
--- a/tests/carrying/test_link_rate.py
+++ b/tests/carrying/test_link_rate.py
@@ -147,6 +147,21 @@
     assert not played.changes
 
 
+def test_lost_queries_lower_the_rate_at_low_use():
+    """Senders whose packets are lost send less than half of the rate themselves."""
+    lossy = iter(range(1_000_000))
+    played = Playback(use=0.2, queries_per_step=3).run(1_000, prompt)
+    played.run(1_500, lambda n: BASE_MS + 50 if next(lossy) % 3 == 0 else None)
+    assert played.rate.mbps <= CONFIGURED / 4
+
+
+def test_gone_sidecars_and_slow_ones_at_low_use_do_not_lower_the_rate():
+    """After a zone is lost, the others are overloaded; what is sent to them arrives."""
+    played = Playback(use=0.2, queries_per_step=3).run(1_000, prompt)
+    played.run(3_000, lambda n: BASE_MS + 60 if n % 2 else None)
+    assert not played.changes
+
+
 def test_few_queries_do_not_lower_the_rate():
     played = Playback(sidecars=3).run(1_000, prompt).run(3_000, queued)
     assert not played.changes
--- a/tests/carrying/test_scheduling.py
+++ b/tests/carrying/test_scheduling.py
@@ -271,6 +271,17 @@
     assert kept[150:] == many[: len(kept) - 150]
 
 
+def test_a_small_bulk_flow_is_dropped_before_a_large_interactive_one():
+    link = saturated()
+    bulk = [data(flow_of(1), n * FULL, UPLOAD) for n in range(100)]
+    many = [data(flow_of(2), n * FULL, URGENT, length=900) for n in range(1_050)]
+    for made in (*bulk, *many):
+        link.enqueue(made, NOW + 10)
+    assert link.dropped[scheduling.OVERFLOW] > 0
+    assert list(link.arrivals)[-1] is many[-1]
+    assert sum(made.traits is URGENT for made in link.arrivals) == len(many)
+
+
 def test_what_waits_is_bounded_without_any_bulk_flow():
     link = saturated()
     for n in range(2_000):
@@ -296,6 +307,19 @@
     assert link.next_due(NOW) is None and not link.waiting_bytes
 
 
+def test_expired_packets_of_a_level_that_is_not_served_are_dropped():
+    """They would count in the predicted waits of packets that callers still wait for."""
+    link = saturated()
+    patient = dataclasses.replace(URGENT, timeout_ms=60_000)
+    plain = data(flow_of(1))
+    link.enqueue(plain, NOW + 10)
+    for n in range(100):
+        link.enqueue(data(flow_of(2), n * FULL, patient), NOW + 11)
+    sent = link.pop_due(NOW + 10 + scheduling.DEFAULT_EXPIRY_MS)
+    assert sent and plain not in sent and plain not in link.arrivals
+    assert link.dropped == {scheduling.EXPIRED: 1}
+
+
 def test_an_aborted_flow_leaves_nothing_in_the_queue():
     link = saturated()
     for n in range(10):
