Let a service state the kind, objective, timeout and priority of its requests

Cause: routes of carried flows state what callers expect of requests, and services of the product's own interface could not.

Change: four optional keys of a service in its document, with the types and bounds that routes have (the bounds move to core/carrying/routes.py, which both borders reach). An objective above the timeout is refused. A process of an earlier version refuses unknown keys, so it keeps the older value of the whole document; its refusal, passed on to newer processes, has no effect there.

Before: such a document was refused with four unknown keys.

Conclusion: traits are there for decisions to come; operators publish them after an upgrade.

--- a/src/ebonystile/commands/check.py
+++ b/src/ebonystile/commands/check.py
@@ -7,6 +7,8 @@
 
 from ebonystile import errors, settings, validation
 from ebonystile.commands import shell
+from ebonystile.core.carrying import routes
+from ebonystile.operator import traits
 from ebonystile.platform import documents, node
 
 STEP = "check"
@@ -19,6 +21,9 @@
 CARRIER = "carrier"
 """Settings of the carrying daemons, filled in by the platform."""
 
+SERVICES = "services"
+SERVICES_LABEL = f"{SERVICES} document"
+
 KINDS = (*SETTINGS, CARRIER, *documents.MODELS)
 
 
@@ -64,9 +69,28 @@
 
 
 def explain_fields(path: pathlib.Path, label: str) -> list[str]:
+    """Return the lines that explain a valid file, for the kinds that have any."""
+    if label == CARRIER_LABEL:
+        return explain_carrier(path)
+    if label == SERVICES_LABEL:
+        return explain_services(path)
+    return []
+
+
+def explain_services(path: pathlib.Path) -> list[str]:
+    """Return a line for each service that states traits of its requests."""
+    value = validation.read_json(path, step=STEP)
+    services = documents.parse(f"{SERVICES}/{path.stem}", value).services
+    stated = {name: spec.requests() for name, spec in services.items()}
+    return [
+        f"{name}: requests: {traits.text_of(requests)}"
+        for name, requests in stated.items()
+        if requests != routes.NO_TRAITS
+    ]
+
+
+def explain_carrier(path: pathlib.Path) -> list[str]:
     """Return a line for each field of carrier settings, with its value and meaning."""
-    if label != CARRIER_LABEL:
-        return []
     node_settings = node.read(path)
     return [
         f"{name}: {getattr(node_settings, name) or 'none'} ({meaning})"
--- a/src/ebonystile/core/carrying/routes.py
+++ b/src/ebonystile/core/carrying/routes.py
@@ -11,10 +11,15 @@
 SPLIT_SEED = 0x51
 """Hash seed that makes the split of a route's flows independent of the ranking of upstreams."""
 
-
 DEFAULT_PRIORITY = 2
 """Priority of routes that state none; 0 is the highest."""
 
+MAX_PRIORITY = 1_000
+"""Largest number of a priority, which is the lowest one."""
+
+MAX_TRAIT_MS = 3_600_000
+"""Largest objective or timeout of requests, in ms."""
+
 
 class RequestKind(enum.Enum):
     """What the requests of a route are: whether they may be repeated, and which side sends bulk.
@@ -30,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestTraits:
-    """What the configuration states about the requests of a route.
+    """What the configuration states about the requests of a route or service.
 
     `objective_ms` is the response time that callers expect, `timeout_ms` the time after which they
     give a request up, both in ms and 0 if not stated. `kind` is None if not stated.
--- a/src/ebonystile/core/control/assembly.py
+++ b/src/ebonystile/core/control/assembly.py
@@ -10,6 +10,7 @@
 import typing
 
 from ebonystile.core import view
+from ebonystile.core.carrying import routes
 
 Pair = tuple[str, str]
 """A label's key and value."""
@@ -37,6 +38,7 @@
 
     address: str
     selector: tuple[tuple[str, tuple[str, ...]], ...]
+    requests: routes.RequestTraits = routes.NO_TRAITS
 
     def pairs(self) -> typing.Iterator[Pair]:
         """Return every label pair that the selector contains."""
@@ -268,7 +270,7 @@
         former = services[name].upstreams if name in services else ()
         stay = [u for u in former if u.key not in left]
         upstreams = sorted([*stay, *joined], key=lambda u: u.name)
-        services[name] = view.make_service(name, spec.address, upstreams)
+        services[name] = view.make_service(name, spec.address, upstreams, spec.requests)
 
     def can_affect_balancers(self, name: str) -> bool:
         """Return whether a change of the instance can affect the list of balancers."""
--- a/src/ebonystile/core/control/configuration.py
+++ b/src/ebonystile/core/control/configuration.py
@@ -348,4 +348,4 @@
         (key, (value,) if isinstance(value, str) else tuple(sorted(set(value))))
         for key, value in sorted(spec.selector.items())
     )
-    return assembly.Spec(spec.address, selector)
+    return assembly.Spec(spec.address, selector, spec.requests())
--- a/src/ebonystile/core/view.py
+++ b/src/ebonystile/core/view.py
@@ -10,6 +10,8 @@
 
 import xxhash
 
+from ebonystile.core.carrying import routes
+
 Address = tuple[str, int]
 """An IPv4 address and a port; a process uses the same port for UDP and TCP."""
 
@@ -77,14 +79,20 @@
     accepting: tuple[Endpoint, ...]
     accepting_keys: bytes
     key: int
+    requests: routes.RequestTraits = routes.NO_TRAITS
 
 
-def make_service(name: str, address: str, upstreams: typing.Iterable[Endpoint]) -> Service:
+def make_service(
+    name: str,
+    address: str,
+    upstreams: typing.Iterable[Endpoint],
+    requests: routes.RequestTraits = routes.NO_TRAITS,
+) -> Service:
     """Return a service with its key and its accepting upstreams."""
     members = tuple(upstreams)
     accepting = tuple(u for u in members if not u.leaving)
     keys = struct.pack(f"!{len(accepting)}Q", *[u.key for u in accepting])
-    return Service(name, address, members, accepting, keys, key_of(name))
+    return Service(name, address, members, accepting, keys, key_of(name), requests)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonystile/operator/preview.py
+++ b/src/ebonystile/operator/preview.py
@@ -6,16 +6,20 @@
 
 from ebonystile import errors
 from ebonystile.core import view
+from ebonystile.core.carrying import routes
 from ebonystile.core.control import configuration
-from ebonystile.operator import tables
+from ebonystile.operator import tables, traits
 
-HEADERS = ("SERVICE", "UPSTREAMS", "JOIN", "LEAVE", "ADDRESS", "FLOWS TO MOVE")
+HEADERS = ("SERVICE", "UPSTREAMS", "JOIN", "LEAVE", "ADDRESS", "REQUESTS", "FLOWS TO MOVE")
 STEP = "preview"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceChange:
-    """The change of one service; `before` and `after` count upstreams, None if it doesn't exist."""
+    """The change of one service; `before` and `after` count upstreams, None if it doesn't exist.
+
+    `requests_before` and `requests_after` are None if it doesn't exist, too.
+    """
 
     service: str
     before: int | None
@@ -24,6 +28,8 @@
     leave: tuple[str, ...]
     address_before: str
     address_after: str
+    requests_before: routes.RequestTraits | None
+    requests_after: routes.RequestTraits | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +106,8 @@
         tuple(sorted(had - has)),
         before.address if before else "",
         after.address if after else "",
+        before.requests if before else None,
+        after.requests if after else None,
     )
 
 
@@ -151,6 +159,7 @@
         ", ".join(change.join) or "none",
         ", ".join(change.leave) or "none",
         address_text(change),
+        requests_text(change),
         f"{total} and those of {unknown} unreachable" if unknown else total,
     ]
 
@@ -166,10 +175,21 @@
     return " -> ".join(dict.fromkeys(shown))
 
 
+def requests_text(change: ServiceChange) -> str:
+    """Format the traits of the service's requests, or both if they change."""
+    stated = [t for t in (change.requests_before, change.requests_after) if t is not None]
+    return " -> ".join(dict.fromkeys(traits.text_of(t) for t in stated))
+
+
 def as_json(result: Preview, flows: abc.Mapping[str, int | None]) -> dict[str, typing.Any]:
     """Return the preview as a JSON object."""
     changes = [
-        {**dataclasses.asdict(change), "flows": {name: flows.get(name) for name in change.leave}}
+        {
+            **dataclasses.asdict(change),
+            "requests_before": traits.as_json(change.requests_before),
+            "requests_after": traits.as_json(change.requests_after),
+            "flows": {name: flows.get(name) for name in change.leave},
+        }
         for change in result.changes
     ]
     return {"changes": changes, "warnings": list(result.warnings), "unchanged": result.unchanged}
--- a/src/ebonystile/operator/reference.py
+++ b/src/ebonystile/operator/reference.py
@@ -1,6 +1,7 @@
 """Generate the reference of all settings from the models that validate them."""
 
 import dataclasses
+import enum
 import typing
 from collections import abc
 
@@ -9,6 +10,7 @@
 from pydantic import fields
 
 from ebonystile import settings, validation
+from ebonystile.platform import documents
 
 MODELS: abc.Mapping[str, type[pydantic.BaseModel]] = {
     "ebonystile-balancer": settings.BalancerSettings,
@@ -24,8 +26,9 @@
     settings.parse_url: "http://ip:port",
     settings.parse_secret: "hex digits",
     settings.parse_name: "name",
+    documents.check_address: "ip:port",
 }
-"""The written form of a value, by the function that parses it."""
+"""The written form of a value, by the function that parses or checks it."""
 
 HEAD = """# Settings
 
@@ -39,6 +42,12 @@
 
 TABLE_SEPARATOR = "| --- | --- | --- | --- |"
 
+DOCUMENT_HEAD = """## Each service of a document
+
+A document at `services/<shard>` of the platform names services; [CONFIGURATION](CONFIGURATION.md)
+describes them. `ebonystile check FILE` checks one, `ebonystile preview FILE` shows its effect.
+"""
+
 CARRIER_HEAD = """## Daemons on the users' platform
 
 `python3 -m ebonystile.carrier balancer` and `... sidecar` read the file that `EBONYSTILE_NODE_FILE`
@@ -60,14 +69,23 @@
 def page(carriers: abc.Sequence[Setting]) -> str:
     """Return the complete reference in Markdown; `carriers` are the carrying daemons' settings."""
     sections = [section(title, model) for title, model in MODELS.items()]
-    return "\n".join([HEAD, *sections, carrier_section(carriers)])
+    return "\n".join([HEAD, *sections, document_section(), carrier_section(carriers)])
 
 
 def section(title: str, model: type[pydantic.BaseModel]) -> str:
     """Return the table of one model."""
+    return "\n".join([f"## {title}", "", *field_table(model), ""])
+
+
+def document_section() -> str:
+    """Return the table of a service as operators publish it."""
+    return "\n".join([DOCUMENT_HEAD, *field_table(documents.ServiceSpec), ""])
+
+
+def field_table(model: type[pydantic.BaseModel]) -> list[str]:
+    """Return the lines of the table of a model's fields."""
     rows = [row(name, field) for name, field in model.model_fields.items()]
-    head = ["| key | form | default | meaning |", TABLE_SEPARATOR]
-    return "\n".join([f"## {title}", "", *head, *rows, ""])
+    return ["| key | form | default | meaning |", TABLE_SEPARATOR, *rows]
 
 
 def carrier_section(carriers: abc.Sequence[Setting]) -> str:
@@ -112,14 +130,18 @@
     for item in metadata:
         if isinstance(item, pydantic.BeforeValidator):
             return FORMS[item.func]
+        if isinstance(item, pydantic.AfterValidator) and item.func in FORMS:
+            return FORMS[item.func]
     if typing.get_origin(annotation) is typing.Annotated:
         inner, *extra = typing.get_args(annotation)
         return type_text(inner, extra)
     if typing.get_origin(annotation) is typing.Literal:
         return " or ".join(f'"{choice}"' for choice in typing.get_args(annotation))
+    if isinstance(annotation, type) and issubclass(annotation, enum.Enum):
+        return " or ".join(f'"{choice.value}"' for choice in annotation)
     if typing.get_origin(annotation) is list:
         return f"list of {type_text(typing.get_args(annotation)[0])}".replace("object", "objects")
-    if validation.is_model(annotation):
+    if validation.is_model(annotation) or typing.get_origin(annotation) is dict:
         return "object"
     if annotation in (int, float):
         return "number"
--- a/src/ebonystile/platform/documents.py
+++ b/src/ebonystile/platform/documents.py
@@ -12,6 +12,7 @@
 import pydantic
 
 from ebonystile import errors
+from ebonystile.core.carrying import routes
 
 MAX_BYTES = 1 << 20
 """Largest value that the platform stores, in bytes of JSON."""
@@ -50,13 +51,50 @@
     model_config = pydantic.ConfigDict(extra="forbid", strict=True, frozen=True)
 
 
+KindText = typing.Annotated[routes.RequestKind, pydantic.Strict(False)]
+"""A kind of requests. JSON has no enumerations, so its value is accepted, in strict models too."""
+
+TraitMs = typing.Annotated[int, pydantic.Field(ge=0, le=routes.MAX_TRAIT_MS)]
+
+
 class ServiceSpec(Document):
-    """A service's address and its selector: every key must match, a list matches any of it."""
+    """A service: its address, its selector and the traits of its requests.
+
+    Every key of the selector must match, a list matches any of it.
+    """
+
+    address: AddressText = pydantic.Field(description="Where callers reach the service.")
+    selector: dict[LabelKey, LabelValue | AnyOf] = pydantic.Field(
+        min_length=1, max_length=16, description="Labels that an upstream of the service has."
+    )
+    kind: KindText | None = pydantic.Field(
+        None, description="Whether requests may be repeated, and which side sends bulk."
+    )
+    objective_ms: TraitMs = pydantic.Field(
+        0, description="Response time that callers expect; 0: not stated."
+    )
+    timeout_ms: TraitMs = pydantic.Field(
+        0, description="Time after which callers give a request up; 0: not stated."
+    )
+    priority: int = pydantic.Field(
+        routes.DEFAULT_PRIORITY,
+        ge=0,
+        le=routes.MAX_PRIORITY,
+        description="Priority of the requests; 0 is the highest.",
+    )
+
+    @pydantic.model_validator(mode="after")
+    def check_times(self) -> typing.Self:
+        """Refuse an objective above the timeout: no answer could be both late and in time."""
+        if 0 < self.timeout_ms < self.objective_ms:
+            raise ValueError(
+                f"objective_ms {self.objective_ms} is above timeout_ms {self.timeout_ms}"
+            )
+        return self
 
-    address: AddressText
-    selector: typing.Annotated[
-        dict[LabelKey, LabelValue | AnyOf], pydantic.Field(min_length=1, max_length=16)
-    ]
+    def requests(self) -> routes.RequestTraits:
+        """Return the traits of the service's requests."""
+        return routes.RequestTraits(self.kind, self.objective_ms, self.timeout_ms, self.priority)
 
 
 class Services(Document):
--- a/src/ebonystile/platform/entries.py
+++ b/src/ebonystile/platform/entries.py
@@ -19,8 +19,7 @@
 
 STEP = "read the store"
 
-MAX_TRAIT_MS = 3_600_000
-"""Largest objective or timeout of a route's requests, in ms."""
+TraitMs = typing.Annotated[float, msgspec.Meta(ge=0, le=routes.MAX_TRAIT_MS)]
 
 
 class Item(msgspec.Struct):
@@ -104,9 +103,9 @@
     """The traits of a route's requests; a null or missing field is not stated."""
 
     type: typing.Literal["safe", "unsafe", "upload", "download"] | None = None
-    latency_slo_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_TRAIT_MS)] | None = None
-    timeout_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_TRAIT_MS)] | None = None
-    priority: typing.Annotated[int, msgspec.Meta(ge=0, le=1_000)] | None = None
+    latency_slo_ms: TraitMs | None = None
+    timeout_ms: TraitMs | None = None
+    priority: typing.Annotated[int, msgspec.Meta(ge=0, le=routes.MAX_PRIORITY)] | None = None
 
 
 REQUEST_KINDS = {
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,7 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ebonystile.core.carrying import routes
 from ebonystile.core.control import assembly, configuration, store
+from ebonystile.platform import documents
 
 NAMES = ["a", "b", "c", "d"]
 
@@ -222,3 +224,53 @@
                 assert copies[i].values.entries[key].revision >= revision
         results.append([state(c) for c in copies])
     assert all(copy == results[0][0] for result in results for copy in result)
+
+
+def traited(**traits):
+    return {"services": {"line": {"address": "10.0.0.1:80", "selector": {"app": "line"}, **traits}}}
+
+
+def test_traits_of_requests_reach_the_view_and_change_alone():
+    conf = configuration.Configuration()
+    feed(conf, ("services/1", 1, services(line={"app": "line"})))
+    assert conf.view.services["line"].requests == routes.NO_TRAITS
+    feed(conf, ("services/1", 2, traited(kind="idempotent", objective_ms=300)))
+    stated = routes.RequestTraits(routes.RequestKind.IDEMPOTENT, 300)
+    assert conf.view.services["line"].requests == stated
+
+
+class EarlierService(documents.Document):
+    """A service as the version without traits reads it."""
+
+    address: documents.AddressText
+    selector: dict[str, str]
+
+    def requests(self):
+        return routes.NO_TRAITS
+
+
+class EarlierServices(documents.Document):
+    services: dict[str, EarlierService]
+
+
+def test_a_refusal_by_an_earlier_version_affects_no_process_of_the_newer_one(monkeypatch):
+    """Guards against a service that an upgrade in progress takes away, or that stays refused."""
+    earlier, newer = configuration.Configuration(), configuration.Configuration()
+    older = ("services/1", 1, services(line={"app": "line"}))
+    stated = ("services/1", 2, traited(priority=1))
+    feed(newer, older)
+    feed(newer, stated)
+    with monkeypatch.context() as patch:
+        patch.setitem(documents.MODELS, "services", EarlierServices)
+        feed(earlier, older)
+        feed(earlier, stated)
+        assert [r.revision for r in earlier.current_refusals] == [2]
+        assert earlier.view.services["line"].requests == routes.NO_TRAITS
+        update = earlier.update_for(newer.pull_request())
+    newer.apply(update)
+    assert newer.current_refusals == []
+    assert newer.view.services["line"].requests.priority == 1
+    # The upgraded process starts without documents and gets them from a peer.
+    upgraded = configuration.Configuration()
+    upgraded.apply(newer.update_for(upgraded.pull_request()))
+    assert upgraded.view.services["line"].requests.priority == 1
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -2,9 +2,15 @@
 
 import pytest
 
+from ebonystile.core.carrying import routes
 from ebonystile.platform import documents
 
 VALID = {"address": "10.1.0.1:443", "selector": {"app": "line-status"}}
+TRAITS = {"kind": "upload", "objective_ms": 1_089, "timeout_ms": 5_445, "priority": 1}
+
+
+def service(**fields):
+    return {"services": {"x": {**VALID, **fields}}}
 
 
 @pytest.mark.parametrize(
@@ -12,6 +18,9 @@
     [
         ("services/a", {"services": {}}),
         ("services/a", {"services": {"line-status": VALID}}),
+        ("services/a", service(**TRAITS)),
+        ("services/a", service(kind=None, objective_ms=0, timeout_ms=0, priority=0)),
+        ("services/a", service(objective_ms=900)),
         ("services/a/b", {"services": {"x": {**VALID, "selector": {"app": ["a", "b"]}}}}),
         ("labels/a", {"instances": {"line-1": {"app": "line-status", "leaving": "true"}}}),
     ],
@@ -42,6 +51,22 @@
             {"services": {"x": VALID, "y": VALID}},
             ['document: "x" and "y" both have the address 10.1.0.1:443'],
         ),
+        (
+            "services/a",
+            service(kind="safe"),
+            ["services.x.kind: Input should be 'idempotent', 'non"],
+        ),
+        ("services/a", service(objective_ms=-1), ["services.x.objective_ms: Input should be gr"]),
+        ("services/a", service(objective_ms=True), ["services.x.objective_ms: Input should be a"]),
+        ("services/a", service(timeout_ms=3_600_001), ["services.x.timeout_ms: Input should be l"]),
+        ("services/a", service(timeout_ms="9"), ["services.x.timeout_ms: Input should be a val"]),
+        ("services/a", service(priority=1_001), ["services.x.priority: Input should be less"]),
+        (
+            "services/a",
+            service(objective_ms=500, timeout_ms=400),
+            ["services.x: objective_ms 500 is above timeout_ms 400"],
+        ),
+        ("services/a", service(timeout=400), ["services.x.timeout: unknown key (did you mean "]),
         ("labels/a", {"instances": {"line-1": {"app": 1}}}, ["instances.line-1.app: Input"]),
         ("labels/a", {"instances": {"line 1": {}}}, ["instances.line 1: String should match"]),
     ],
@@ -58,3 +83,13 @@
     assert documents.list_faults("services/a", value) == [
         'services.x.selectors: unknown key (did you mean "selector"?)'
     ]
+
+
+def test_a_service_states_the_traits_of_its_requests():
+    spec = documents.parse("services/a", service(**TRAITS)).services["x"]
+    assert spec.requests() == routes.RequestTraits(routes.RequestKind.UPLOAD, 1_089, 5_445, 1)
+
+
+def test_a_service_without_traits_has_those_of_a_route_without_any():
+    """Guards against a document of an earlier version that changes how its service is treated."""
+    assert documents.parse("services/a", service()).services["x"].requests() == routes.NO_TRAITS
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -203,6 +203,28 @@
     assert "1 services change, 0 stay as they are" in result.output
 
 
+TRAITS = {"kind": "upload", "objective_ms": 1_089, "timeout_ms": 5_445, "priority": 1}
+
+
+def test_preview_and_check_show_the_traits_of_requests(tmp_path, options):
+    (tmp_path / "now").mkdir()
+    present = write(tmp_path / "now", "main.json", SERVICES)
+    listed = write(tmp_path, "instances.json", INSTANCES)
+    stated = {"services": {"s": {**SERVICES["services"]["s"], **TRAITS}}}
+    change = write(tmp_path, "main.json", stated)
+    shown = "upload, objective 1089 ms, timeout 5445 ms, priority 1"
+    checked = run("check", change, present)
+    assert f"main.json: services document ok\n  s: requests: {shown}\n" in checked.output
+    assert checked.output.count("requests") == 1
+    arguments = ["--present", present, "--instances", listed, "--no-flows", *options]
+    result = run("preview", change, *arguments)
+    assert result.exit_code == 0, result.output
+    assert f"not stated -> {shown}" in result.output
+    [service] = json.loads(run("preview", change, "--json", *arguments).stdout)["changes"]
+    assert service["requests_before"]["kind"] is None
+    assert service["requests_after"] == TRAITS
+
+
 def test_check_accepts_every_example():
     examples = sorted((ROOT / "examples").glob("*.json5"))
     result = run("check", *examples)
@@ -226,6 +248,7 @@
     assert printed == (ROOT / "docs" / "SETTINGS.md").read_text()
     assert printed.count("| required |") > 10
     assert "| `from_upstream` | ip:port | required for sidecars |" in printed
+    assert "| `objective_ms` | number from 0 to 3600000 | `0` |" in printed
 
 
 @pytest.mark.parametrize("shell", ["bash", "fish", "zsh"])
