Soak: bursts by route, slowed upstreams and a balancer behind a narrow link

Cause: the soak covered faults, with little and even load. A narrow link, a burst and a slowed upstream change which balancer and which upstream can answer, and were in no test with real processes.

Change: tests/loads.py draws loads from a generator of its own, so a seed draws the same faults as before. The first balancer runs behind standins/narrow_link.py, which delays and drops what the daemon sends as a link of 2 Mbit/s with 50 ms of queue does; a load narrows it to 1/4 or 1/36, while the settings state 2. Bursts are 150 new flows a second to one of two routes, four requests of nearly a full packet on each; routes state traits. A slowed upstream answers 100 or 400 ms late. The checks are as they were, with two more: flows of bursts are not reset while held, and after the last fault every caller whose flow is open at an upstream gets its answer. The stand-in of a caller accepts an answer only if it acknowledges the current request: a late copy of an older answer passed for a new one.

What is sent without loop.send would pass the stand-in's link unlimited.

--- a/standins/ends.py
+++ b/standins/ends.py
@@ -219,10 +219,20 @@
             self.next_at = now
             caller, route = ends(self.flow)
             return [pack(caller, route, packets.ACK, self.sequence, self.acknowledged)]
-        if got.length and self.waiting is not None:
+        if got.length and self.waiting is not None and self.is_answered_by(got):
             self.answer = raw[packets.HEADER.size :]
             self.answered_at = now
             self.sequence = (self.sequence + len(self.waiting)) % SEQUENCE_MODULUS
             self.acknowledged = (got.sequence + got.length) % SEQUENCE_MODULUS
             self.waiting = None
         return []
+
+    def is_answered_by(self, got: packet.Packet) -> bool:
+        """Return whether the packet answers the current request, and is no late copy of another."""
+        return got.acknowledged == (self.sequence + len(self.waiting)) % SEQUENCE_MODULUS
+
+    def close(self) -> bytes:
+        """End an open flow and return the packet that ends it at the upstream."""
+        self.over = True
+        caller, route = ends(self.flow)
+        return pack(caller, route, packets.RST, self.sequence, self.acknowledged)
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -1,13 +1,14 @@
 """Run the daemons that carry flows as real processes on loopback.
 
 The store, the upstreams and the callers are stand-ins in this process; each machine has its own
-loopback address. Faults are injected by signals, by the modes of the store and by stopping
-upstreams.
+loopback address. Faults are injected by signals, by the modes of the store, by the rates of links
+and by stopping or slowing upstreams.
 """
 
 import collections
 import contextlib
 import dataclasses
+import heapq
 import http.client
 import json
 import os
@@ -23,7 +24,7 @@
 
 from ebonystile.core.carrying import packet
 from ebonystile.platform import packets
-from standins import ends, store, system
+from standins import ends, narrow_link, store, system
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SERVICE = "line-status"
@@ -79,7 +80,9 @@
 class Machine:
     """One instance: its address, the settings of its daemon and the daemon's process.
 
-    `lines_at_start` is the number of log lines before the process was started.
+    `lines_at_start` is the number of log lines before the process was started. `link` is the file
+    with the rate of its link, None if the rate is not limited. Answers of its upstream are sent
+    `answer_delay_ms` late.
     """
 
     name: str
@@ -91,13 +94,28 @@
     lines_at_start: int = 0
     upstream: ends.Upstream | None = None
     upstream_socket: socket.socket | None = None
+    link: pathlib.Path | None = None
+    answer_delay_ms: int = 0
 
 
 class Installation:
-    """An installation on loopback; use it in a `with` block."""
+    """An installation on loopback; use it in a `with` block.
 
-    def __init__(self, directory: pathlib.Path, balancers: int = 2, upstreams: int = 3):
+    `link_mbps` limits the links of the first balancers, and their settings state the rates.
+    `traits` has what the configuration states about the requests of a route, by its endpoint.
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        balancers: int = 2,
+        upstreams: int = 3,
+        link_mbps: typing.Sequence[float] = (),
+        traits: dict[tuple[str, int], dict[str, typing.Any]] | None = None,
+    ):
         self.directory = directory
+        self.link_mbps = link_mbps
+        self.traits = traits or {}
         self.reservation = Reservation()
         self.ports = self.reservation.ports
         self.store = store.Store()
@@ -111,6 +129,8 @@
         self.shown: collections.deque[tuple[int, packet.Flow, bool]] = collections.deque(
             maxlen=5_000
         )
+        self.delayed: list[tuple[int, int, Machine, bytes]] = []
+        self.delayed_count = 0
         self.version = 0
         self.longest_turn_ms = 0
         self.balancers = [self.machine("balancer", n) for n in range(balancers)]
@@ -164,6 +184,10 @@
             "seeds": [f"127.0.2.{n}:{self.ports.internal}" for n in (1, 2)],
         }
         made = Machine(name, role, host, settings, self.directory / f"{name}.log")
+        if role == "balancer" and number < len(self.link_mbps):
+            body["link_mbps"] = self.link_mbps[number]
+            made.link = self.directory / f"{name}.link"
+            self.set_link(made, self.link_mbps[number])
         if role == "sidecar":
             body["from_upstream"] = f"{host}:{self.ports.from_upstream}"
             body["upstream"] = f"{host}:{self.ports.upstream}"
@@ -176,6 +200,15 @@
         settings.write_text(json.dumps(body))
         return made
 
+    def set_link(self, machine: Machine, mbps: float) -> None:
+        """Set the rate of a limited link, in Mbit/s; the settings of its daemon stay as they are.
+
+        The file is replaced as a whole, as the daemon reads it at any time.
+        """
+        written = machine.link.with_suffix(".new")
+        written.write_text(str(mbps))
+        written.replace(machine.link)
+
     def publish(self, machine: Machine, **changes) -> None:
         """Write the store entry of an upstream."""
         body = {
@@ -196,7 +229,13 @@
         """Publish a new version of the configuration."""
         self.version += 3
         listed = [
-            {"name": f"r{port}", "host": host, "prefix": f"/{port}/", "service": service}
+            {
+                "name": f"{host}:{port}",
+                "host": host,
+                "prefix": f"/{port}/",
+                "service": service,
+                **self.traits.get((host, port), {}),
+            }
             for (host, port), service in routes.items()
         ]
         limits = {"idle_timeout_ms": 15_000}
@@ -224,10 +263,14 @@
     def spawn(self, machine: Machine, output: typing.Any) -> None:
         """Start a machine's daemon, with `output` as its standard output."""
         environment = {**os.environ, "EBONYSTILE_NODE_FILE": str(machine.settings)}
-        environment["PYTHONPATH"] = str(ROOT / "src")
+        environment["PYTHONPATH"] = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        module = "ebonystile.carrier"
+        if machine.link is not None:
+            module = "standins.narrow_link"
+            environment[narrow_link.FILE_VARIABLE] = str(machine.link)
         machine.lines_at_start = len(self.lines(machine))
         machine.process = subprocess.Popen(
-            [sys.executable, "-m", "ebonystile.carrier", machine.role],
+            [sys.executable, "-m", module, machine.role],
             env=environment,
             stdout=output,
             stderr=subprocess.STDOUT,
@@ -284,11 +327,13 @@
                 raise AssertionError(f"condition not met within {seconds} s: {done}")
             time.sleep(STEP_S)
 
-    def caller(self, through: Machine, request: bytes = b"hello") -> ends.Caller:
+    def caller(
+        self, through: Machine, request: bytes = b"hello", route: tuple[str, int] = ROUTE
+    ) -> ends.Caller:
         """Start a caller whose flow goes through a balancer, with its first request."""
         with self.lock:
             self.next_port += 1
-            flow = packet.endpoint_of("127.0.3.1", self.next_port) + packet.endpoint_of(*ROUTE)
+            flow = packet.endpoint_of("127.0.3.1", self.next_port) + packet.endpoint_of(*route)
             made = ends.Caller(flow, now_ms())
             made.through = through
             made.ask(request, now_ms())
@@ -300,6 +345,11 @@
         with self.lock:
             caller.ask(request, now_ms())
 
+    def close(self, caller: ends.Caller) -> None:
+        """Close a caller's open flow."""
+        with self.lock:
+            self.send(caller, caller.close())
+
     def answered(
         self, caller: ends.Caller, request: bytes = b"hello", seconds: float = 10
     ) -> bytes:
@@ -334,6 +384,7 @@
                 for caller in self.callers.values():
                     for raw in caller.due(now_ms()):
                         self.send(caller, raw)
+                self.send_delayed(now_ms())
 
     def send(self, caller: ends.Caller, raw: bytes) -> None:
         """Send a caller's packet to its balancer."""
@@ -366,12 +417,29 @@
         if shown is not None and not shown.opens:
             held = shown.flow in machine.upstream.flows
             self.shown.append((now_ms(), shown.flow, held))
+        is_delayed = machine.answer_delay_ms and shown is not None and shown.length
         for sent in machine.upstream.on_packet(raw):
-            try:
-                machine.upstream_socket.sendto(sent, (machine.host, self.ports.from_upstream))
-            except OSError:
-                # The sidecar is down; callers send again.
-                continue
+            if is_delayed:
+                self.delayed_count += 1
+                due = now_ms() + machine.answer_delay_ms
+                heapq.heappush(self.delayed, (due, self.delayed_count, machine, sent))
+            else:
+                self.send_from_upstream(machine, sent)
+
+    def send_delayed(self, now: int) -> None:
+        """Send the delayed answers that are due, unless their upstream has lost the flow since."""
+        while self.delayed and self.delayed[0][0] <= now:
+            _, _, machine, raw = heapq.heappop(self.delayed)
+            if packets.from_upstream(raw).flow in machine.upstream.flows:
+                self.send_from_upstream(machine, raw)
+
+    def send_from_upstream(self, machine: Machine, raw: bytes) -> None:
+        """Send a packet of an upstream to its sidecar."""
+        try:
+            machine.upstream_socket.sendto(raw, (machine.host, self.ports.from_upstream))
+        except OSError:
+            # The sidecar is down; callers send again.
+            pass
 
     def foreign(self) -> int:
         """Return the number of packets that reached upstreams for flows that they do not hold."""
--- a/tests/carrier/test_soak.py
+++ b/tests/carrier/test_soak.py
@@ -2,18 +2,35 @@
 
 import pytest
 
-from tests import soak
+from tests import loads, soak
 
 SECONDS = 8.0
 
-SEEDS = [1, 2, 112, 113, 119, 329]
-"""Seeds 1 and 2 cover every kind of fault in `KINDS`; the others reproduce faults of the soak.
+SEEDS_WITH_LOADS = [1, 2]
+"""Seeds that cover every kind of fault in `KINDS`, with every kind of load on top."""
+
+SEEDS = [112, 113, 119, 329]
+"""Seeds that reproduce faults of the soak, without loads, as they were found.
 
 112, 113, 119: flows opened after an upstream's crash in an outage of the store are lost when its
 new entry arrives. 329: SIGTERM during the imports ends a sidecar with the signal's status.
 """
 
 
+def assert_loaded(finished):
+    """Guards against a soak whose loads don't come or serve nobody."""
+    assert set(finished.load.counts) == set(loads.KINDS)
+    assert finished.load.served > 0
+
+
+@pytest.mark.parametrize("seed", SEEDS_WITH_LOADS)
+def test_guarantees_hold_under_random_faults_and_uneven_load(seed, tmp_path):
+    finished = soak.run_seed(seed, SECONDS, tmp_path, soak.KINDS, with_loads=True)
+    assert finished.violations == []
+    assert finished.served > 0
+    assert_loaded(finished)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_guarantees_hold_under_random_faults(seed, tmp_path):
     finished = soak.run_seed(seed, SECONDS, tmp_path, soak.KINDS)
@@ -23,6 +40,7 @@
 
 @pytest.mark.parametrize("seed", [3, 6])
 def test_guarantees_hold_over_restorations_of_the_store_and_losses_of_all_power(seed, tmp_path):
-    finished = soak.run_seed(seed, SECONDS, tmp_path)
+    finished = soak.run_seed(seed, SECONDS, tmp_path, with_loads=True)
     assert finished.violations == []
     assert finished.served > 0 and finished.faults["power"]
+    assert_loaded(finished)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,8 +2,9 @@
 
 `python -m tests.soak --seed 7 --seconds 20` runs one seed. Kills, SIGTERM, pauses, SIGHUP, store
 failures and restorations, losses of all power, upstream crashes and route changes overlap, while
-callers keep flows open through changing balancers. Only processes started here are signalled, by
-their ids. The exit status is 1 if a guarantee was violated.
+callers keep flows open through changing balancers. Bursts by route, slowed upstreams and a narrow
+link come on top (`tests.loads`), unless `--no-loads` is given. Only processes started here are
+signalled, by their ids. The exit status is 1 if a guarantee was violated.
 """
 
 import argparse
@@ -17,6 +18,7 @@
 import time
 
 from standins import ends, installation, store
+from tests import loads
 
 KINDS = (
     "kill",
@@ -69,6 +71,7 @@
     running: installation.Installation
     rng: random.Random
     kinds: tuple[str, ...] = ALL_KINDS
+    load: loads.Loads | None = None
     callers: list[ends.Caller] = dataclasses.field(default_factory=list)
     last_fault_ms: collections.Counter = dataclasses.field(default_factory=collections.Counter)
     paused: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -80,6 +83,13 @@
     faults: collections.Counter = dataclasses.field(default_factory=collections.Counter)
     served: int = 0
 
+    @property
+    def routes(self) -> dict[tuple[str, int], str]:
+        """Return the routes that callers use."""
+        if self.load is None:
+            return {installation.ROUTE: installation.SERVICE}
+        return loads.ROUTES
+
     def machines(self) -> list[installation.Machine]:
         """Return every machine."""
         return [*self.running.balancers, *self.running.sidecars]
@@ -134,7 +144,7 @@
             self.faults[kind] += 1
             extra = {("198.18.0.9", self.rng.randrange(1, 60_000)): installation.SERVICE}
             self.lost_values.pop("op/config", None)
-            self.running.configure({installation.ROUTE: installation.SERVICE, **extra})
+            self.running.configure({**self.routes, **extra})
         elif kind == "rubbish":
             self.faults[kind] += 1
             name = f"servers/x{self.rng.randrange(5)}"
@@ -214,6 +224,12 @@
             made = self.running.caller(self.rng.choice(self.running.balancers))
             self.callers.append(made)
 
+    def drive_loads(self) -> None:
+        """Begin and end loads, and check the callers of bursts that have ended."""
+        if self.load is not None:
+            for caller in self.load.drive():
+                self.check_reset(caller)
+
     def check_reset(self, caller: ends.Caller) -> None:
         """Check that no flow was reset while its upstream held it."""
         with self.running.lock:
@@ -255,12 +271,15 @@
                 next_fault = time.monotonic() + self.rng.uniform(0.1, 2.5)
             self.restore_due()
             self.drive_callers()
+            self.drive_loads()
             self.check_misdelivery()
             time.sleep(STEP_S)
         self.check_recovery()
 
     def check_recovery(self) -> None:
         """End all faults and wait until a new caller is served through every balancer."""
+        if self.load is not None:
+            self.load.end_all()
         self.store_until = min(self.store_until, time.monotonic())
         for name in self.paused:
             self.paused[name] = 0.0
@@ -268,6 +287,7 @@
             self.restore_due()
             time.sleep(STEP_S)
         self.check_served("after the last fault")
+        self.check_answered()
         if "restore" in self.kinds:
             self.restore_under_changes()
             self.check_configured("after a restoration of the store")
@@ -287,18 +307,38 @@
                 self.violations.append(f"{balancer.name} serves no caller {when}")
         self.check_configured(when)
 
+    def check_answered(self) -> None:
+        """Wait until every caller whose flow is open at an upstream has its answer."""
+        burst_callers = self.load.callers.values() if self.load is not None else ()
+        callers = [*self.callers, *burst_callers]
+        try:
+            self.running.wait(lambda: all(map(self.is_settled, callers)), 2 * RECOVERY_S)
+        except AssertionError:
+            waiting = [caller.describe() for caller in callers if not self.is_settled(caller)]
+            self.violations.append(f"{len(waiting)} open flows get no answer: {waiting[:1]}")
+
+    def is_settled(self, caller: ends.Caller) -> bool:
+        """Return whether a caller waits for no answer that an upstream holding its flow owes."""
+        self.restore_due()
+        if caller.over or not caller.open or caller.waiting is None:
+            return True
+        with self.running.lock:
+            return not any(
+                m.upstream.flows[caller.flow].opened
+                for m in self.running.sidecars
+                if caller.flow in m.upstream.flows
+            )
+
     def restore_under_changes(self) -> None:
         """Let the store lose changes that every daemon has, and make another one."""
         self.running.store.back_up()
         for port in range(1, 4):
-            self.running.configure(
-                {installation.ROUTE: installation.SERVICE, ("198.18.0.8", port): "s"}
-            )
+            self.running.configure({**self.routes, ("198.18.0.8", port): "s"})
         self.check_configured("before the restoration")
         lost = self.running.store.restore()
         for key, value in lost.items():
             self.running.store.put(key, value)
-        self.running.configure({installation.ROUTE: installation.SERVICE})
+        self.running.configure(self.routes)
 
     def check_configured(self, when: str) -> None:
         """Wait until every daemon has the latest configuration in force."""
@@ -325,26 +365,53 @@
 
 
 def run_seed(
-    seed: int, seconds: float, directory: pathlib.Path, kinds: tuple[str, ...] = ALL_KINDS
+    seed: int,
+    seconds: float,
+    directory: pathlib.Path,
+    kinds: tuple[str, ...] = ALL_KINDS,
+    *,
+    with_loads: bool = False,
 ) -> Soak:
     """Run one seed and return the finished run."""
-    with installation.Installation(directory, balancers=3, upstreams=4) as running:
-        soak = Soak(running, random.Random(seed), kinds)
+    if not with_loads:
+        with installation.Installation(directory, balancers=3, upstreams=4) as running:
+            soak = Soak(running, random.Random(seed), kinds)
+            soak.run(seconds)
+        return soak
+    with installation.Installation(
+        directory, 3, 4, link_mbps=(loads.LINK_MBPS,), traits=loads.TRAITS
+    ) as running:
+        running.configure(loads.ROUTES)
+        drawn = loads.Loads(running, random.Random(seed))
+        soak = Soak(running, random.Random(seed), kinds, drawn)
         soak.run(seconds)
     return soak
 
 
+def describe(soak: Soak) -> str:
+    """Return what a run served, and the faults and loads that it had."""
+    counts = collections.Counter(soak.faults)
+    counts["served"] = soak.served
+    if soak.load is not None:
+        counts += soak.load.counts
+        counts["served_in_bursts"] = soak.load.served
+    return " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
+
+
 def main() -> int:
     """Run the seeds of the command line; return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after another")
     parser.add_argument("--seconds", type=float, default=20.0, help="length of each")
+    parser.add_argument("--no-loads", action="store_true", help="faults only")
     arguments = parser.parse_args()
     failed_seeds = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
-            soak = run_seed(seed, arguments.seconds, pathlib.Path(name))
+            soak = run_seed(
+                seed, arguments.seconds, pathlib.Path(name), with_loads=not arguments.no_loads
+            )
             if soak.violations:
                 failed_seeds += 1
                 kept = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -352,8 +419,7 @@
                     (kept / log.name).write_bytes(log.read_bytes())
                 print(f"logs kept in {kept}", file=sys.stderr)
         verdict = "; ".join(soak.violations) or "ok"
-        faults = " ".join(f"{kind}={count}" for kind, count in sorted(soak.faults.items()))
-        print(f"seed={seed} served={soak.served} {faults} {verdict}", flush=True)
+        print(f"seed={seed} {describe(soak)} {verdict}", flush=True)
     return 1 if failed_seeds else 0
 
 
--- a/tests/standins/test_installation.py
+++ b/tests/standins/test_installation.py
@@ -56,3 +56,30 @@
             add_idle_caller(running, port)
         running.answered(running.caller(running.balancers[0]))
     assert len(decoded) < IDLE_CALLERS
+
+
+def test_a_slowed_upstream_answers_late_and_a_late_copy_answers_no_other_request(tmp_path):
+    """Guards against a soak that takes the copy of an old answer for a new one."""
+    with installation.Installation(tmp_path, 1, 1) as running:
+        caller = running.caller(running.balancers[0])
+        running.answered(caller)
+        running.sidecars[0].answer_delay_ms = 300
+        asked_at = installation.now_ms()
+        for request in (b"first", b"second"):
+            running.ask(caller, request)
+            running.answered(caller, request)
+        assert caller.answered_at - asked_at >= 600
+        assert running.sidecars[0].upstream.ran == [b"hello", b"first", b"second"]
+
+
+def test_a_slowed_upstream_that_crashes_sends_none_of_its_late_answers(tmp_path):
+    with installation.Installation(tmp_path, 1, 1) as running:
+        caller = running.caller(running.balancers[0])
+        running.answered(caller)
+        running.sidecars[0].answer_delay_ms = 300
+        running.ask(caller, b"late")
+        running.wait(lambda: running.delayed)
+        with running.lock:
+            running.sidecars[0].upstream.restart()
+        running.wait(lambda: not running.delayed)
+        assert caller.answer is None
