trace and causes: explain refusals before an opening, predictions and narrow links

Cause: scheduling, admission and predicted finishes add the log events refused, link_busy, link_idle and link_rate, and the fields wait_ms and finish_ms of opened. Those on links name no flow, so trace passed over them, and a late request ended at the balancer that had placed it.

Change: operator/links.py finds when a balancer's link was busy or narrowed; a restart ends both. trace shows these lines for the balancers that handled the flow, from the flow's first line to 5 s after its last, with a sentence each after the last decision. held and refused get sentences with their inputs and limits, opened its prediction where there is one. causes counts refusals by reason and shows a second table of links.

Before: held, refused and link lines had no sentence, and refused flows were in no cause.

Conclusion: an operator gets from a flow's id to the balancer, the inputs and the limit.

--- a/src/ebonystile/commands/trace.py
+++ b/src/ebonystile/commands/trace.py
@@ -3,7 +3,7 @@
 import click
 
 from ebonystile.commands import shell
-from ebonystile.operator import carried
+from ebonystile.operator import carried, links
 
 
 @click.command("trace")
@@ -14,9 +14,12 @@
     """Show what became of FLOW, from the LOGS of all processes or standard input.
 
     FLOW is `caller>route`, each as ip:port, as the caller's own log names its connection. Lines of
-    all processes are ordered by their clocks, which may differ by some ms.
+    all processes are ordered by their clocks, which may differ by some ms. Lines that show a link
+    of the flow's balancers as busy or narrowed at that time are among them.
     """
-    lines = carried.select(shell.iter_lines(logs), carried.Filter(flow=flow))
+    lines = links.follow(shell.iter_lines(logs), flow)
     for line in lines:
         click.echo(carried.format_line(line, without="flow"))
     click.echo(carried.final_decision(lines))
+    for sentence in links.explain(lines):
+        click.echo(sentence)
--- a/src/ebonystile/operator/carried.py
+++ b/src/ebonystile/operator/carried.py
@@ -13,6 +13,10 @@
 SENTENCE_BY_EVENT = {
     "opened": "It was placed on {upstream} at cost {cost}: {answered} of {asked} sidecars answered "
     "within {searched_ms} ms (copy {copy} of the opening packet, configuration {version}).",
+    "held": "It was deferred: the best upstream that answered has {running} requests running, at "
+    "cost {cost}.",
+    "refused": "It was refused before it was opened, so nothing has run ({reason}): predicted "
+    "{predicted_ms} ms, with a time limit of {timeout_ms} ms; it had waited {waited_ms} ms.",
     "not_placed": "It was not placed: {answered} of {asked} sidecars answered within "
     "{searched_ms} ms, and none of them could accept it (reset sent: {reset}).",
     "open_refused": "A sidecar refused it: {reason}.",
@@ -24,9 +28,16 @@
     "{searched_ms} ms (reset sent: {reset}).",
     "flow_reset": "A reset was sent to its caller: {reason}.",
     "flow_lost": "Its upstream no longer holds it; a reset was sent to its caller.",
+    "link_busy": "A backlog began, with {bytes} bytes waiting.",
+    "link_idle": "The backlog ended: up to {bytes} bytes waited, the longest for "
+    "{longest_wait_ms} ms, and {dropped} datagrams were dropped.",
+    "link_rate": "The rate in force became {rate_mbps} of the configured {configured_mbps} Mbit/s.",
 }
 """Templates that describe what an event means for its flow, with the inputs of the decision."""
 
+PREDICTION = " Predicted: {wait_ms} ms until it runs, {finish_ms} ms until its answer."
+"""Added to the sentence of `opened` where the balancer has logged a prediction."""
+
 UNKNOWN = "?"
 
 
@@ -42,6 +53,8 @@
     def sentence(self) -> str:
         """Return a description of the event, or an empty string if it has none."""
         template = SENTENCE_BY_EVENT.get(self.event, "")
+        if self.event == "opened" and "finish_ms" in self.fields:
+            template += PREDICTION
         return template.format_map(Fields(self.fields))
 
 
@@ -116,7 +129,7 @@
 
 def final_decision(lines: list[Line]) -> str:
     """Return a sentence on the last decision about the flow."""
-    decided = [line for line in lines if line.event in SENTENCE_BY_EVENT]
+    decided = [line for line in lines if line.event in SENTENCE_BY_EVENT and "flow" in line.fields]
     if not decided:
         return "No process has logged a decision about it; see lines_suppressed for that second."
     last = decided[-1]
--- a/src/ebonystile/operator/causes.py
+++ b/src/ebonystile/operator/causes.py
@@ -24,12 +24,14 @@
     NO_ROUTE = "no route"
     NO_UPSTREAM = "no upstream accepted it"
     REFUSED = "refused once, then placed"
+    NOT_IN_TIME = "refused before it was opened"
     DEFERRED = "deferred, then placed"
 
 
 CAUSE_BY_EVENT = {
     "flow_lost": Cause.UPSTREAM_LOST,
     "not_placed": Cause.NO_UPSTREAM,
+    "refused": Cause.NOT_IN_TIME,
     "open_refused": Cause.REFUSED,
     "open_returned": Cause.REFUSED,
     "held": Cause.DEFERRED,
@@ -47,18 +49,19 @@
 class Disruption:
     """The disruption of one flow: its start, and its duration until the flow was reset or served.
 
-    `began_at` is in ms since the epoch.
+    `began_at` is in ms since the epoch. `reason` is why the flow was refused before it was opened.
     """
 
     flow: str
     cause: Cause
     began_at: int
     duration_ms: int
+    reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
-    """The disruptions of one cause that began within one time span.
+    """The disruptions of one cause and reason that began within one time span.
 
     `span_start` is in ms since the epoch; `median_ms` and `max_ms` are durations.
     """
@@ -68,6 +71,12 @@
     flows: int
     median_ms: int
     max_ms: int
+    reason: str = ""
+
+    @property
+    def text(self) -> str:
+        """Return the cause, with the reason if there is one."""
+        return f"{self.cause.value}: {self.reason}" if self.reason else self.cause.value
 
 
 def find_disruptions(lines: typing.Iterable[carried.Line]) -> list[Disruption]:
@@ -88,7 +97,8 @@
         return None
     after = lines[lines.index(first) :]
     cause, end = outcome_of(after)
-    return Disruption(flow, cause, first.time_ms, end.time_ms - first.time_ms)
+    reason = end.fields.get("reason", "") if cause is Cause.NOT_IN_TIME else ""
+    return Disruption(flow, cause, first.time_ms, end.time_ms - first.time_ms, reason)
 
 
 def outcome_of(lines: list[carried.Line]) -> tuple[Cause, carried.Line]:
@@ -117,14 +127,20 @@
 
 
 def rows(disruptions: typing.Iterable[Disruption], span_ms: int) -> list[Row]:
-    """Group disruptions by span and cause, the earliest and then the most frequent first."""
-    groups: dict[tuple[int, Cause], list[int]] = collections.defaultdict(list)
+    """Group disruptions by span, cause and reason, the earliest and most frequent first."""
+    groups: dict[tuple[int, Cause, str], list[int]] = collections.defaultdict(list)
     for disruption in disruptions:
-        groups[disruption.began_at // span_ms * span_ms, disruption.cause].append(
-            disruption.duration_ms
-        )
+        span_start = disruption.began_at // span_ms * span_ms
+        groups[span_start, disruption.cause, disruption.reason].append(disruption.duration_ms)
     table = [
-        Row(span_start, cause, len(durations), round(statistics.median(durations)), max(durations))
-        for (span_start, cause), durations in groups.items()
+        Row(
+            span_start,
+            cause,
+            len(durations),
+            round(statistics.median(durations)),
+            max(durations),
+            reason,
+        )
+        for (span_start, cause, reason), durations in groups.items()
     ]
     return sorted(table, key=lambda row: (row.span_start, -row.flows))
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ebonystile.commands import operator
-from ebonystile.operator import carried, causes
+from ebonystile.operator import carried, causes, links
 
 
 def line(at, event, flow="f", **fields):
@@ -96,3 +96,49 @@
         1_000,
         300,
     )
+
+
+def test_a_refused_flow_counts_by_the_reason_until_its_refusal():
+    refused = [line(1_000, "held"), line(1_150, "refused", reason="late", timeout_ms="1500")]
+    assert classify(*refused) == (causes.Cause.NOT_IN_TIME, 1_000, 150)
+    lines = [line(10, "refused", flow=f"f{n}", reason="late") for n in range(3)]
+    lines += [line(20, "refused", flow="g", reason="narrowed")]
+    table = causes.rows(causes.find_disruptions(lines), 2_000)
+    assert [(row.text, row.flows) for row in table] == [
+        ("refused before it was opened: late", 3),
+        ("refused before it was opened: narrowed", 1),
+    ]
+
+
+def link_line(at, event, process="b-1", **fields):
+    return carried.Line(at, process, event, fields)
+
+
+def test_links_are_counted_by_balancer_the_busiest_first():
+    lines = [
+        link_line(100, "link_busy", bytes="9000"),
+        link_line(150, "link_rate", rate_mbps="2.5", configured_mbps="5.0"),
+        link_line(200, "link_rate", "b-2", rate_mbps="5.0", configured_mbps="5.0"),
+        link_line(220, "link_rate", rate_mbps="0.625", configured_mbps="5.0"),
+        link_line(300, "link_idle", bytes="9000", longest_wait_ms="40", dropped="2"),
+        link_line(400, "link_rate", rate_mbps="5.0", configured_mbps="5.0"),
+        link_line(500, "link_busy", "b-3"),
+        link_line(900, "link_idle", "b-3", longest_wait_ms="x"),
+        link_line(950, "link_busy"),
+    ]
+    assert links.rows(lines) == [
+        links.Row("b-3", 1, 400, 0, 0, ""),
+        links.Row("b-1", 2, 200, 40, 2, "0.625 of 5.0"),
+    ]
+
+
+def test_the_command_shows_links_also_where_no_flow_was_disrupted(tmp_path):
+    log = tmp_path / "log"
+    log.write_text(
+        "time_ms=1500 process=b-1 event=link_busy bytes=900\n"
+        "time_ms=1900 process=b-1 event=link_idle bytes=900 longest_wait_ms=60 dropped=3\n"
+    )
+    shown = click.testing.CliRunner().invoke(operator.main, ["causes", str(log)]).output
+    assert shown.splitlines()[0] == "No flow was disrupted."
+    assert shown.splitlines()[2].startswith("LINK OF  BACKLOGS  BUSY MS")
+    assert shown.splitlines()[3].split() == ["b-1", "1", "400", "60", "3", "as", "configured"]
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -101,3 +101,77 @@
 
 def test_an_invalid_time_is_refused():
     assert "is not a time like" in invoke("logs", "--at", "noon", input="").output
+
+
+REFUSED = (
+    'time_ms=5300 process=b-1 event=refused flow="' + FLOW + '" reason=late predicted_ms=2100 '
+    "timeout_ms=1500 waited_ms=120"
+)
+LINK_LINES = [
+    "time_ms=100 process=b-1 event=link_busy bytes=9000",
+    "time_ms=300 process=b-1 event=link_idle bytes=9000 longest_wait_ms=40 dropped=0",
+    "time_ms=4000 process=b-1 event=link_rate configured_mbps=5.0 rate_mbps=2.5",
+    "time_ms=4200 process=b-1 event=link_rate configured_mbps=5.0 rate_mbps=1.25",
+    "time_ms=4900 process=b-1 event=link_busy bytes=20000",
+    "time_ms=5000 process=b-2 event=link_busy bytes=7",
+    "time_ms=5250 process=b-1 event=link_rate configured_mbps=5.0 rate_mbps=0.625",
+    "time_ms=5400 process=b-1 event=link_rate configured_mbps=5.0 rate_mbps=0.781",
+    "time_ms=6100 process=b-1 event=link_idle bytes=30000 longest_wait_ms=900 dropped=7",
+    "time_ms=7000 process=b-1 event=link_rate configured_mbps=5.0 rate_mbps=5.0",
+    "time_ms=20000 process=b-1 event=link_busy bytes=8000",
+]
+
+
+def test_a_refused_flow_shows_the_inputs_the_limit_and_the_link_of_its_balancer():
+    """Guards against a refusal of which an operator can't see what made it so."""
+    lines = run(FLOW, input="\n".join([*LINK_LINES, REFUSED])).output.splitlines()
+    assert [line.split()[2] for line in lines[:4]] == [
+        "link_busy",
+        "link_rate",
+        "refused",
+        "link_idle",
+    ]
+    assert lines[4] == (
+        "Last decision, by b-1: It was refused before it was opened, so nothing has run (late): "
+        "predicted 2100 ms, with a time limit of 1500 ms; it had waited 120 ms."
+    )
+    assert lines[5:] == [
+        "Link of b-1: A backlog began, with 20000 bytes waiting.",
+        "Link of b-1: The rate in force became 0.625 of the configured 5.0 Mbit/s.",
+        "Link of b-1: The backlog ended: up to 30000 bytes waited, the longest for 900 ms, and 7 "
+        "datagrams were dropped.",
+    ]
+
+
+def test_the_first_and_the_lowest_rate_of_the_time_are_shown_without_the_steps_between():
+    late = f'time_ms=4100 process=b-1 event=opened flow="{FLOW}" upstream=u copy=0'
+    shown = run(FLOW, input="\n".join([*LINK_LINES, late])).output
+    rates = [line for line in shown.splitlines() if line.startswith("Link") and "rate" in line]
+    assert [line.split()[8] for line in rates] == ["2.5", "0.625"]
+
+
+def test_a_link_that_was_free_is_not_shown():
+    quiet = run(FLOW, input="\n".join([LINK_LINES[0], LINK_LINES[1], LINK_LINES[-1], REFUSED]))
+    assert "Link of" not in quiet.output
+
+
+def test_the_backlog_of_a_balancer_that_restarted_is_over():
+    """Guards against a backlog without an end that would explain every later flow."""
+    restarted = "time_ms=3000 process=b-1 event=start zone=a address=x"
+    ran = run(FLOW, input="\n".join([LINK_LINES[0], restarted, REFUSED]))
+    assert "Link of" not in ran.output
+
+
+def test_a_placement_shows_its_prediction_if_it_was_logged():
+    predicted = LINES[1] + " wait_ms=80 finish_ms=230"
+    assert run(FLOW, input=predicted).output.endswith(
+        "Predicted: 80 ms until it runs, 230 ms until its answer.\n"
+    )
+    assert "Predicted" not in run(FLOW, input=LINES[1]).output
+
+
+def test_a_flow_that_was_deferred_last_shows_the_load_of_the_best_upstream():
+    held = f'time_ms=1 process=b-1 event=held flow="{FLOW}" cost=6.5 running=12'
+    assert run(FLOW, input=held).output.endswith(
+        "It was deferred: the best upstream that answered has 12 requests running, at cost 6.5.\n"
+    )
