--- a/src/ebonystile/operator/links.py
+++ b/src/ebonystile/operator/links.py
@@ -53,7 +53,7 @@
 
 def is_narrowed(line: carried.Line) -> bool:
     """Return whether a `link_rate` line puts a rate in force that is below the configured one."""
-    return number(line, "rate_mbps") < number(line, "configured_mbps")
+    return 0 < number(line, "rate_mbps") < number(line, "configured_mbps")
 
 
 def number(line: carried.Line, field: str) -> float:
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -132,6 +132,14 @@
     ]
 
 
+@pytest.mark.parametrize("fields", [{}, {"configured_mbps": "5.0"}, {"rate_mbps": "?"}])
+def test_a_rate_without_its_fields_counts_as_no_narrowing(fields):
+    """Guards against a table that fails on the log of another version."""
+    assert links.rows([link_line(100, "link_rate", **fields)]) == []
+    later = line(200, "opened", flow="f")
+    assert links.concerning([later], [link_line(100, "link_rate", **fields)]) == []
+
+
 def test_the_command_shows_links_also_where_no_flow_was_disrupted(tmp_path):
     log = tmp_path / "log"
     log.write_text(
