--- a/src/ebonystile/core/carrying/backlog.py
+++ b/src/ebonystile/core/carrying/backlog.py
@@ -38,7 +38,7 @@
             "link_busy",
             bytes=link.waiting_bytes,
             backlog_ms=round(link.backlog_ms),
-            mbps=round(link.rate_mbps, 3),
+            rate_mbps=round(link.rate_mbps, 3),
         )
 
     def end(self, link: scheduling.LinkScheduler) -> effects.Trace:
@@ -47,6 +47,6 @@
         return effects.trace(
             "link_idle",
             bytes=self.max_bytes,
-            longest_ms=self.longest_ms,
+            longest_wait_ms=self.longest_ms,
             dropped=link.dropped.total() - self.dropped_before,
         )
--- a/src/ebonystile/core/carrying/link_rate.py
+++ b/src/ebonystile/core/carrying/link_rate.py
@@ -115,7 +115,7 @@
         self.unmeasured_raise_at = now + UNMEASURED_INTERVAL_MS
         return effects.trace(
             "link_rate",
-            mbps=round(mbps, 3),
+            rate_mbps=round(mbps, 3),
             before_mbps=round(before, 3),
             configured_mbps=self.configured_mbps,
             queries=evidence.queries,
--- a/standins/narrow.py
+++ b/standins/narrow.py
@@ -15,15 +15,12 @@
 import threading
 import time
 
-from ebonystile.core.carrying import packet
+from ebonystile.core.carrying import datagram, packet
 from ebonystile.platform import packets
 from standins import ends, installation, sending
 
 LINK_MBPS = 5
 QUEUE_S = 0.05
-HEADER_BYTES = 28
-"""Bytes of the IP and UDP headers, which take room on a link."""
-
 UPLOAD_ROUTE = ("198.18.0.2", 443)
 PART_BYTES = 1_150
 """Data of one packet of an upload; the answer repeats it with the upstream's name."""
@@ -80,7 +77,7 @@
         if begin - now > QUEUE_S:
             self.dropped += 1
             return
-        self.free_at = begin + (len(data) + HEADER_BYTES) * 8 / (self.mbps * 1e6)
+        self.free_at = begin + (len(data) + datagram.HEADER_BYTES) * 8 / (self.mbps * 1e6)
         relayed = Relayed(self.free_at, next(self.numbers), data, receiver, sidecar)
         heapq.heappush(self.queue, relayed)
 
@@ -149,7 +146,7 @@
     """An installation with one balancer; `link_mbps` is the rate in the balancer's settings."""
 
     def __init__(self, directory: pathlib.Path, link_mbps: float = LINK_MBPS, upstreams: int = 5):
-        self.link_mbps = link_mbps
+        self.settings_mbps = link_mbps
         self.link = NarrowLink(LINK_MBPS)
         super().__init__(directory, balancers=1, upstreams=upstreams)
         (self.balancer,) = self.balancers
@@ -178,7 +175,7 @@
         """Return the settings that differ from those of other installations."""
         if role == "sidecar":
             return {"internal_port": self.sidecar_port}
-        return {"link_mbps": self.link_mbps}
+        return {"link_mbps": self.settings_mbps}
 
     def publish(self, machine: installation.Machine, **changes) -> None:
         """Write the store entry of an upstream, with more slots than the test has requests."""
--- a/tests/carrier/test_link.py
+++ b/tests/carrier/test_link.py
@@ -91,7 +91,7 @@
     assert len(made.peer_socket.sent) == 200
     assert len(made.waits) > 190
     assert [t.event for t in made.traced] == ["link_busy", "link_idle"]
-    assert dict(made.traced[1].fields)["longest_ms"] >= 100
+    assert dict(made.traced[1].fields)["longest_wait_ms"] >= 100
 
 
 def test_one_timer_is_set_while_datagrams_wait(made):
