Ignore link timers that an earlier one has replaced

Cause: a change of the rate in force while datagrams wait sets an earlier timer. The former one, when it fired, set another beside the pending one, so each change added a chain of wake-ups for as long as the backlog lasted.

Change: a timer that is no longer the current one does nothing.

Before: test_changes_of_the_rate_add_no_wake_ups fails (its mutant shows it).

Conclusion: the number of wake-ups is bounded by the rate again.

--- a/src/ebonystile/carrier/link.py
+++ b/src/ebonystile/carrier/link.py
@@ -100,10 +100,12 @@
         due = self.scheduler.next_due(self.event_loop.now)
         if due is not None and (self.timer_at is None or due < self.timer_at):
             self.timer_at = due
-            self.event_loop.call_at(due, self.on_timer)
+            self.event_loop.call_at(due, functools.partial(self.on_timer, due))
 
-    def on_timer(self) -> None:
-        """Send the datagrams that are due."""
+    def on_timer(self, due: int) -> None:
+        """Send the datagrams that are due, unless an earlier timer has replaced this one."""
+        if due != self.timer_at:
+            return
         self.timer_at = None
         now = clock.now()
         for sent in self.scheduler.pop_due(now):
--- a/tests/carrier/test_link.py
+++ b/tests/carrier/test_link.py
@@ -104,6 +104,22 @@
     assert not made.event_loop.alarms
 
 
+def test_changes_of_the_rate_add_no_wake_ups(made):
+    """A timer that an earlier one has replaced must not set a further one while it is pending."""
+    wake_ups = []
+    pop_due = made.scheduler.pop_due
+    made.scheduler.pop_due = lambda now: wake_ups.append(now) or pop_due(now)
+    made.scheduler.set_rate(0.1, made.event_loop.now)
+    fill(made)
+    for _ in range(20):
+        made.scheduler.set_rate(0.1, made.event_loop.now)
+        made.set_timer()
+        made.event_loop.advance(5)
+    wake_ups.clear()
+    made.event_loop.advance(1_000)
+    assert made.scheduler.waiting_bytes and 5 <= len(wake_ups) <= 15
+
+
 def test_a_reset_goes_to_the_caller_before_waiting_data(made):
     """A caller that is refused must learn it within 50 ms; a reset uses the same link."""
     fill(made)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -947,6 +947,12 @@
         "if is_behind or self.event_loop.overdue_ms() >= STALL_MS:",
         "if False:",
     ),
+    Mutation(
+        "a timer that an earlier one has replaced does nothing",
+        "src/ebonystile/carrier/link.py",
+        "if due != self.timer_at:",
+        "if False:",
+    ),
     Mutation(
         "resets to callers pass the scheduler of the link",
         "src/ebonystile/carrier/link.py",
