--- a/src/ebonystile/core/carrying/balancer_state.py
+++ b/src/ebonystile/core/carrying/balancer_state.py
@@ -19,6 +19,7 @@
     messages,
     packet,
     routes,
+    zones,
 )
 
 FAN_OUT_MESSAGES_PER_S, FAN_OUT_BURST = 1_000, 300
@@ -66,6 +67,7 @@
         self.placements: collections.deque[tuple[int, view.Address]] = collections.deque()
         self.pending: dict[packet.Flow, packet.Packet] = {}
         self.route_table = routes.RouteTable()
+        self.zone_demand = zones.ZoneDemand()
         self.fleet = fleet.Fleet()
         self.homes: dict[packet.Flow, Home] = {}
         self.searches: dict[packet.Flow, flow_search.Search] = {}
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -41,6 +41,10 @@
     if local:
         rounds = [placing.first_round(flow, local)]
         make_later_rounds = functools.partial(placing.later_rounds, flow, local, remote)
+        if remote and state.zone_demand.is_often_too_busy(service):
+            others, *later = make_later_rounds()
+            rounds[0].extend(others)
+            make_later_rounds = functools.partial(list, later)
     else:
         rounds = placing.later_rounds(flow, local, remote)
         make_later_rounds = None
@@ -59,18 +63,13 @@
     holder = search.holder()
     if holder is not None:
         return place_flow(state, search, holder, now)
-    chosen = placing.pick_best(
-        placing.compare_candidates(
-            estimate_loads(state, search),
-            state.zone,
-            now,
-            state.route_table.routes.traits_of(search.flow),
-        )
-    )
+    candidates = rate_candidates(state, search, now)
+    chosen = placing.pick_best(candidates)
     if chosen is None or not search.is_round_over(now):
         return None
     if search.has_next_round and not chosen.is_uncongested:
         return None
+    record_demand(state, search, candidates)
     if chosen.load.unresponsive and not search.has_all_answers() and now < search.deadline:
         return None
     if chosen.is_overloaded and now < search.started_at + MAX_DEFER_MS:
@@ -80,6 +79,25 @@
     return place_flow(state, search, chosen.upstream, now, chosen)
 
 
+def rate_candidates(
+    state: balancer_state.BalancerState, search: flow_search.Search, now: int
+) -> list[placing.Candidate]:
+    """Return the ratings of the upstreams whose sidecars have answered."""
+    requests = state.route_table.routes.traits_of(search.flow)
+    return placing.compare_candidates(estimate_loads(state, search), state.zone, now, requests)
+
+
+def record_demand(
+    state: balancer_state.BalancerState,
+    search: flow_search.Search,
+    candidates: list[placing.Candidate],
+) -> None:
+    """Record whether the own zone was too busy, if the flow's route states an objective."""
+    if state.route_table.routes.traits_of(search.flow).objective_ms:
+        too_busy = placing.is_zone_too_busy(candidates, state.zone)
+        state.zone_demand.record(search.service, too_busy)
+
+
 def estimate_loads(
     state: balancer_state.BalancerState, search: flow_search.Search
 ) -> list[tuple[fleet.Upstream, messages.Load]]:
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -150,6 +150,11 @@
         s.finish_ms += crossing_ms * (s.upstream.zone != zone)
 
 
+def is_zone_too_busy(candidates: typing.Iterable[Candidate], zone: str) -> bool:
+    """Return whether no candidate of the zone is available and healthy with a short queue."""
+    return not any(s.is_uncongested for s in candidates if s.upstream.zone == zone)
+
+
 def mean_load_per_flow(loads: list[messages.Load]) -> float:
     """Return the mean number of running requests per open flow, limited by `MAX_LOAD_PER_FLOW`."""
     running = sum(load.running for load in loads)
--- a/tests/carrying/loaded.py
+++ b/tests/carrying/loaded.py
@@ -134,11 +134,11 @@
         self.send_to_balancer(caller, end)
 
     def times_ms(self, since=0, zone=None):
-        """Return the response times in ms, in order; an unanswered request counts as infinite."""
+        """Return the response times in ms, in order; a refused request counts as infinite."""
         return sorted(
-            (c.answered_at - c.started_at) if c.answered_at is not None else float("inf")
-            for c in self.made
-            if c.started_at >= since and zone in (None, c.through.zone)
+            response_ms(caller)
+            for caller in self.made
+            if caller.started_at >= since and zone in (None, caller.through.zone)
         )
 
     def p99_ms(self, since=0, zone=None):
@@ -160,3 +160,10 @@
         origin, target = (end.split(":") for end in text.split(">"))
         flow = packet.endpoint_of(origin[0], int(origin[1]))
         return self.callers[flow + packet.endpoint_of(target[0], int(target[1]))].through.zone
+
+
+def response_ms(caller):
+    """Return the time in ms until a caller's request was answered, infinite if it was refused."""
+    if caller.answer is None or caller.answer.startswith(SHED):
+        return float("inf")
+    return caller.answered_at - caller.started_at
--- a/tests/carrying/test_predicted_finish.py
+++ b/tests/carrying/test_predicted_finish.py
@@ -60,6 +60,7 @@
     load = messages.Load
     unknown = load(0, 0, 2)
     assert chosen(unknown, load(0, 0, 2, latency=40), load(0, 0, 2, latency=40)) == "u0"
+    assert chosen(load(1, 0, 2), load(0, 0, 2, latency=40)) == "u1"
     assert chosen(load(3, 0, 2), load(0, 0, 2, latency=40), load(0, 0, 2, latency=90)) == "u1"
     assert chosen(load(0, 0, 2, latency=90), unknown, load(1, 0, 2, latency=40)) == "u1"
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -31,6 +31,7 @@
     "tests/carrying/test_warming.py",
     "tests/carrying/test_service_times.py",
     "tests/carrying/test_predicted_finish.py",
+    "tests/carrying/test_zone_demand.py",
     "tests/carrier/test_feed.py",
     "tests/carrier/test_relay.py",
     "tests/carrier/test_restored.py",
@@ -611,6 +612,30 @@
         "if self.route_table.routes.traits_of(flow).objective_ms:",
         "if True:",
     ),
+    Mutation(
+        "crossing to another zone has a cost",
+        CORE + "carrying/placing.py",
+        "s.finish_ms += crossing_ms * (s.upstream.zone != zone)",
+        "pass",
+    ),
+    Mutation(
+        "a zone past the objective does not keep its flows",
+        CORE + "carrying/zones.py",
+        "if own_finish_ms is None or own_finish_ms > requests.objective_ms:",
+        "if own_finish_ms is None:",
+    ),
+    Mutation(
+        "bulk stays in its zone for longer",
+        CORE + "carrying/zones.py",
+        "BULK_CROSSING_SHARE if requests.kind in BULK_KINDS else CROSSING_SHARE",
+        "CROSSING_SHARE",
+    ),
+    Mutation(
+        "other zones are asked early only while the own is often too busy",
+        CORE + "carrying/zones.py",
+        "return self.busy_shares.get(service, 0.0) >= MIN_BUSY_SHARE",
+        "return True",
+    ),
     Mutation(
         "unlisted upstreams asked before a reset",
         CORE + "carrying/finding.py",
