Admit, hold or refuse new flows by what their routes state

Cause: a new flow waited for up to 300 ms whatever time its caller allows. Each waiting flow queried the sidecars on its own every 25 ms, whoever asked first got the room, and what could not be served was sent to full queues.

Change: where a route states a time limit or an objective, admission.decide (no I/O) admits a flow, lets it wait or refuses it, by the predicted wait at the best upstream, over this balancer's link and behind the flows that wait. Waiting flows stand in a line by service: by priority, in turns among callers, oldest first. Every answer serves the line; one flow of it queries each 25 ms for all. A refusal resets a flow only if this balancer has forwarded no copy of its opening packet and every copy that the caller can have sent has arrived here. Routes that state neither go the way they went. LinkRoom is None until a link is scheduled.

--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -45,6 +45,8 @@
         """Register the metrics of a balancer."""
         registry.gauge("homes", "Flows whose home is known.", lambda: len(self.core.homes))
         registry.gauge("searches", "Searches under way.", lambda: len(self.core.searches))
+        registry.gauge("waiting", "Flows that wait for room.", lambda: len(self.core.lines.by_flow))
+        registry.tally("refused", "Flows refused admission.", self.core.refused, "reason")
 
     def is_ready(self) -> bool:
         """Return whether packets can be served.
--- /dev/null
+++ b/src/ebonystile/core/carrying/admitting.py
@@ -0,0 +1,441 @@
+"""Admit, keep waiting or refuse new flows of routes that state a time limit or an objective.
+
+Flows that wait are kept in a line for each service. All answers about the service's upstreams serve
+the line in its order, whichever flow they were queried for. While a line waits, one of its flows
+queries the sidecars at each step on behalf of all, so that the number of queries depends neither on
+the number of flows that wait nor on their ages.
+"""
+
+import dataclasses
+import functools
+import statistics
+import typing
+
+from ebonystile.core.carrying import (
+    admission,
+    balancer_state,
+    effects,
+    fleet,
+    flow_search,
+    opening,
+    packet,
+    placing,
+    predicting,
+    waiting,
+)
+
+REPORT_TTL_MS = 100
+"""Age in ms from which answers no longer count for a flow that was not queried for: as long as
+placements are remembered."""
+
+STATUS_TTL_MS = flow_search.ROUND_MS
+"""Age in ms from which the answers about a flow that may be open no longer count: as old as they
+can be where a flow is placed by a single round."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The best upstream for a flow and whether it has room.
+
+    `usual_ms` is the usual latency of the upstreams that answered, in ms, 0 if unknown.
+    """
+
+    candidate: placing.Candidate
+    has_room: bool
+    usual_ms: float
+
+    @property
+    def wait_ms(self) -> float:
+        """Return the predicted wait at the upstream, in ms."""
+        return predicting.predicted_wait_ms(self.candidate.load, self.usual_ms)
+
+    @property
+    def service_ms(self) -> float:
+        """Return the predicted time from the start of the request to its answer, in ms."""
+        return predicting.predicted_finish_ms(self.candidate.load, self.usual_ms) - self.wait_ms
+
+
+def decide_placement(
+    state: balancer_state.BalancerState, search: flow_search.Search, now: int
+) -> list[effects.Effect] | None:
+    """Return the effects that place, defer or refuse a new flow, or None to wait for answers."""
+    if not admission.is_stated(state.route_table.routes.traits_of(search.flow)):
+        return opening.decide_placement(state, search, now)
+    holder = search.holder()
+    if holder is not None:
+        return opening.place_flow(state, search, holder, now)
+    line = line_of(state, search)
+    if opening.find_candidate(state, search, now) is not None:
+        if line.report is None or line.report.asked_at <= search.asked_at:
+            line.report = waiting.Report(search.asked_at, search.ordered_answers())
+        return serve_line(state, line, search, now)
+    if is_disconnected(state, search, now):
+        return refuse(state, search, admission.Reason.DISCONNECTED, None, now)
+    if not search.is_deferred or not search.asked or not search.is_round_over(now):
+        return None
+    return None if search.has_next_round else serve_line(state, line, search, now)
+
+
+def line_of(state: balancer_state.BalancerState, search: flow_search.Search) -> waiting.Line:
+    """Return the line in which the flow waits or would wait."""
+    return state.lines.by_flow.get(search.flow) or state.lines.by_key[key_of(state, search)]
+
+
+def key_of(state: balancer_state.BalancerState, search: flow_search.Search) -> waiting.Key:
+    """Return the key of the line in which the flow would wait."""
+    return (search.service, tuple(state.route_table.routes.regions_of(search.flow)))
+
+
+def serve_line(
+    state: balancer_state.BalancerState, line: waiting.Line, search: flow_search.Search, now: int
+) -> list[effects.Effect]:
+    """Admit the flows of the line for which there is room, then decide about the search's flow."""
+    traits = state.route_table.routes.traits_of(search.flow)
+    entry = waiting.Entry(search.flow, traits.priority, search.opened_at, search.asked_at)
+    state.lines.add(key_of(state, search), entry, now + opening.DEFER_STEP_MS)
+    todo: list[effects.Effect] = []
+    ordered = line.ordered(now)
+    for entry in ordered:
+        first = state.searches[entry.flow]
+        verdict, choice = decide_flow(state, line, first, 0, now)
+        if isinstance(verdict, admission.Wait):
+            break
+        todo.extend(carry_out(verdict, state, line, first, choice, now))
+    if search.flow not in line.entries or state.searches.get(search.flow) is not search:
+        return todo
+    ahead = position_of(search.flow, ordered, line)
+    verdict, choice = decide_flow(state, line, search, ahead, now)
+    return [*todo, *carry_out(verdict, state, line, search, choice, now)]
+
+
+def position_of(flow: packet.Flow, ordered: list[waiting.Entry], line: waiting.Line) -> int:
+    """Return how many flows of the line are still before the flow."""
+    before = 0
+    for entry in ordered:
+        if entry.flow == flow:
+            break
+        before += entry.flow in line.entries
+    return before
+
+
+def choose(
+    state: balancer_state.BalancerState, line: waiting.Line, search: flow_search.Search, now: int
+) -> Choice | None:
+    """Return the best upstream by the latest answers, or None if there are none."""
+    report = report_for(state, line, search, now)
+    if report is None:
+        return None
+    placed = state.count_placements_since(report.asked_at)
+    loads = [
+        (upstream, opening.add_flows(answer.load, placed[upstream.address]))
+        for upstream, answer in report.answers
+        if upstream.address not in search.excluded
+    ]
+    candidates = placing.compare_candidates(loads, state.zone, now)
+    roomy = [c for c in candidates if has_room(c, placed[c.upstream.address])]
+    best = placing.pick_best(roomy or candidates)
+    return Choice(best, bool(roomy), usual_latency(report)) if best is not None else None
+
+
+def report_for(
+    state: balancer_state.BalancerState,
+    line: waiting.Line,
+    search: flow_search.Search,
+    now: int,
+) -> waiting.Report | None:
+    """Return the answers by which the flow is placed, or None if all are too old.
+
+    Another balancer may have opened a flow that is not certainly unopened, so this flow is placed
+    by the answers to its own queries where it has any.
+    """
+    is_recent = bool(search.answers) and now - search.asked_at <= REPORT_TTL_MS
+    if is_recent and not is_unopened(state, search, now):
+        return waiting.Report(search.asked_at, search.ordered_answers())
+    if line.report is None or now - line.report.asked_at > REPORT_TTL_MS:
+        return None
+    return line.report
+
+
+def has_room(candidate: placing.Candidate, placed: int) -> bool:
+    """Return whether the upstream takes one more flow.
+
+    `placed` flows were placed on it since it was queried, and are included in its load. One answer
+    must not place more than its queue holds, also while its slots are free: each balancer would
+    place as many. Flows that open without a request fill the queue in appearance only, so an
+    upstream with a free slot takes some more.
+    """
+    load = candidate.load
+    if load.unresponsive or candidate.is_overloaded:
+        return False
+    slots = max(1, load.slots)
+    return load.running < placing.OVERLOADED_REQUESTS_PER_SLOT * slots or placed < slots
+
+
+def decide_flow(
+    state: balancer_state.BalancerState,
+    line: waiting.Line,
+    search: flow_search.Search,
+    ahead: int,
+    now: int,
+) -> tuple[admission.Verdict, Choice | None]:
+    """Return the verdict on a flow with `ahead` others before it, and the best upstream for it."""
+    choice = choose(state, line, search, now)
+    room = room_for(state, line, search, choice, now)
+    room = dataclasses.replace(room, ahead=ahead)
+    return admission.decide(request_of(state, search), room, now), choice
+
+
+def request_of(
+    state: balancer_state.BalancerState, search: flow_search.Search
+) -> admission.Request:
+    """Return the flow as its opening packets show it."""
+    return admission.Request(
+        state.route_table.routes.traits_of(search.flow),
+        search.opened_at,
+        frozenset(received.copy_number for received in search.packets),
+        search.was_forwarded,
+    )
+
+
+def room_for(
+    state: balancer_state.BalancerState,
+    line: waiting.Line,
+    search: flow_search.Search,
+    choice: Choice | None,
+    now: int,
+) -> admission.Room:
+    """Return the room for the first flow of a line, at the upstream and on this balancer's link."""
+    admitted_per_s = line.admitted.decayed(now)
+    link, size = None, 0.0
+    if state.find_link_room is not None:
+        link = state.find_link_room(state.route_table.routes.traits_of(search.flow), now)
+        size = state.flow_sizes.average(search.flow)
+    room = admission.Room(False, admitted_per_s=admitted_per_s, link=link, request_bytes=size)
+    if choice is None:
+        return room
+    return dataclasses.replace(
+        room, has_room=choice.has_room, wait_ms=choice.wait_ms, service_ms=choice.service_ms
+    )
+
+
+def usual_latency(report: waiting.Report) -> float:
+    """Return the median of the latencies in the answers, for upstreams without one, in ms."""
+    latencies = [answer.load.latency for _, answer in report.answers if answer.load.latency]
+    return statistics.median_low(latencies) if latencies else 0.0
+
+
+@functools.singledispatch
+def carry_out(
+    verdict: typing.Any,
+    state: balancer_state.BalancerState,
+    line: waiting.Line,
+    search: flow_search.Search,
+    choice: Choice | None,
+    now: int,
+) -> list[effects.Effect]:
+    """Return the effects of a verdict on a flow in the line."""
+    raise TypeError(f"expected a verdict, found {type(verdict).__name__}")
+
+
+@carry_out.register
+def _(verdict: admission.Admit, state, line, search, choice, now):
+    if choice is None or choice.candidate.load.full:
+        # Its sidecar would return the opening packet at once.
+        return end_unserved(state, search, admission.Reason.NO_ROOM, choice, now, reset=False)
+    chosen = choice.candidate
+    if needs_status(state, search, chosen.upstream, now):
+        return ask_status(state, search, now)
+    todo = opening.place_flow(state, search, chosen.upstream, now, chosen)
+    line.record_admission(search.flow, now)
+    return todo
+
+
+@carry_out.register
+def _(verdict: admission.Wait, state, line, search, choice, now):
+    state.schedule(search, max(now + 1, verdict.until))
+    if search.is_deferred:
+        return []
+    search.is_deferred = True
+    inputs = opening.placement_inputs(choice.candidate) if choice is not None else {}
+    flow = packet.flow_text(search.flow)
+    return [effects.trace("held", flow=flow, wait_ms=verdict.until - now, **inputs)]
+
+
+@carry_out.register
+def _(verdict: admission.Refuse, state, line, search, choice, now):
+    return refuse(state, search, verdict.reason, choice, now)
+
+
+def needs_status(
+    state: balancer_state.BalancerState,
+    search: flow_search.Search,
+    upstream: fleet.Upstream,
+    now: int,
+) -> bool:
+    """Return whether sidecars must be asked first whether the flow is open.
+
+    Another balancer may have opened it since its own queries. If their answers are lost, it is
+    placed after `MAX_WAIT_MS` all the same; two upstreams may then have accepted it, and its caller
+    continues with one of them.
+    """
+    if is_unopened(state, search, now) or now >= search.opened_at + admission.MAX_WAIT_MS:
+        return False
+    is_recent = now - search.asked_at <= STATUS_TTL_MS
+    return not (is_recent and upstream.address in search.answers)
+
+
+def ask_status(
+    state: balancer_state.BalancerState, search: flow_search.Search, now: int
+) -> list[effects.Effect]:
+    """Return the queries of a flow that needs its status, unless its last ones are recent."""
+    retry_at = search.asked_at + STATUS_TTL_MS + 1
+    if now >= retry_at:
+        return ask_again(state, search, now)
+    if search.due <= now:
+        state.schedule(search, retry_at)
+    return []
+
+
+def refuse(
+    state: balancer_state.BalancerState,
+    search: flow_search.Search,
+    reason: admission.Reason,
+    choice: Choice | None,
+    now: int,
+) -> list[effects.Effect]:
+    """End a search without placing its flow, and reset the flow if no balancer can have opened it.
+
+    Sidecars have only been queried about such a flow, so nothing of it has run.
+    """
+    reset = is_unopened(state, search, now)
+    return end_unserved(state, search, reason, choice, now, reset=reset)
+
+
+def is_unopened(state: balancer_state.BalancerState, search: flow_search.Search, now: int) -> bool:
+    """Return whether no balancer can have opened the flow."""
+    return request_of(state, search).is_unopened(now)
+
+
+def end_unserved(
+    state: balancer_state.BalancerState,
+    search: flow_search.Search,
+    reason: admission.Reason,
+    choice: Choice | None,
+    now: int,
+    *,
+    reset: bool,
+) -> list[effects.Effect]:
+    """End a search without placing its flow."""
+    state.end_search(search)
+    searched_ms = now - search.started_at
+    wait_ms = choice.wait_ms if choice is not None else 0.0
+    traced = trace_refusal(state, search.flow, reason, wait_ms, searched_ms, reset=reset)
+    if not reset:
+        return [traced]
+    return [traced, effects.Reset(search.flow, search.packets[-1].acknowledged)]
+
+
+def ask_for_lines(state: balancer_state.BalancerState, now: int) -> list[effects.Effect]:
+    """Return the queries that are due for the flows that wait: for one flow of each line."""
+    todo: list[effects.Effect] = []
+    for line in state.lines.due(now):
+        line.ask_at = now + opening.DEFER_STEP_MS
+        search = state.searches[line.next_asker().flow]
+        if not is_asking(search, now):
+            todo.extend(ask_again(state, search, now))
+    return todo
+
+
+def is_asking(search: flow_search.Search, now: int) -> bool:
+    """Return whether the queries of a flow that waits are in progress.
+
+    Starting them again would leave out the later rounds while the first ones are not answered.
+    """
+    is_over = search.is_round_over(now) and not search.has_next_round
+    return not is_over and now < search.asked_at + flow_search.ROUND_MS
+
+
+def ask_again(
+    state: balancer_state.BalancerState, search: flow_search.Search, now: int
+) -> list[effects.Effect]:
+    """Return the queries of a flow that waits to the first round of sidecars."""
+    state.lines.by_flow[search.flow].entries[search.flow].asked_at = now
+    again = opening.renew_search(state, search, now)
+    if again.rounds:
+        return state.ask_next_round(again, now)
+    state.schedule(again, now)
+    return []
+
+
+def is_disconnected(
+    state: balancer_state.BalancerState, search: flow_search.Search, now: int
+) -> bool:
+    """Return whether a flow is refused as no sidecar answers this balancer.
+
+    That is safe only for a flow that no balancer can have opened. The caller then tries again at
+    another balancer and does not wait until it gives up.
+    """
+    silent_since = state.unanswered_since
+    if search.answers or silent_since is None or now - silent_since < admission.DISCONNECTED_MS:
+        return False
+    is_due = now >= search.started_at + admission.DISCONNECTED_REFUSAL_MS
+    return is_due and is_unopened(state, search, now)
+
+
+def next_check(
+    state: balancer_state.BalancerState, search: flow_search.Search, until: int, now: int
+) -> int:
+    """Return when a search that waits for answers is checked next, at the latest at `until`."""
+    refusal_at = search.started_at + admission.DISCONNECTED_REFUSAL_MS
+    if not search.is_opening or now >= refusal_at:
+        return until
+    if not admission.is_stated(state.route_table.routes.traits_of(search.flow)):
+        return until
+    return min(until, refusal_at)
+
+
+def refuse_unsearched(
+    state: balancer_state.BalancerState,
+    received: packet.Packet,
+    home: balancer_state.Home | None,
+    now: int,
+) -> list[effects.Effect]:
+    """Reset a new flow beyond the limit of searches, if that is safe; otherwise drop the packet.
+
+    Safe are only first opening packets that have just arrived and were not forwarded: the caller
+    has sent no copy to another balancer yet.
+    """
+    traits = state.route_table.routes.traits_of(received.flow)
+    if not received.opens or not admission.is_stated(traits):
+        return []
+    opened_at = admission.opened_at(received.copy_number, now)
+    was_forwarded = home is not None or not state.is_timely(now)
+    copies = frozenset([received.copy_number])
+    if not admission.Request(traits, opened_at, copies, was_forwarded).is_unopened(now):
+        return []
+    return [
+        trace_refusal(state, received.flow, admission.Reason.SEARCHES, 0.0, 0, reset=True),
+        effects.Reset(received.flow, received.acknowledged),
+    ]
+
+
+def trace_refusal(
+    state: balancer_state.BalancerState,
+    flow: packet.Flow,
+    reason: admission.Reason,
+    wait_ms: float,
+    searched_ms: int,
+    *,
+    reset: bool,
+) -> effects.Effect:
+    """Count a flow that is not placed, and return the log event of it."""
+    state.refused[reason.value] += 1
+    return effects.trace(
+        "refused",
+        flow=packet.flow_text(flow),
+        reason=reason.value,
+        reset=reset,
+        predicted_wait_ms=round(wait_ms),
+        timeout_ms=state.route_table.routes.traits_of(flow).timeout_ms,
+        searched_ms=searched_ms,
+    )
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -10,6 +10,7 @@
 
 from ebonystile.core import view
 from ebonystile.core.carrying import (
+    admitting,
     announcing,
     asking,
     balancer_state,
@@ -60,6 +61,8 @@
         if not self.fleet.is_listed(home.upstream) and now >= home.verified_until:
             return self.begin_search(received, home, now)
         home.seen_at = now
+        if self.find_link_room is not None:
+            self.flow_sizes.record(received)
         return [effects.Send(home.upstream.address, messages.Carry(received.raw))]
 
     def refuse_without_route(self, received: packet.Packet) -> list[effects.Effect]:
@@ -85,11 +88,12 @@
         if route is None:
             return self.refuse_without_route(received)
         if len(self.searches) >= MAX_SEARCHES:
-            return []
+            return admitting.refuse_unsearched(self, received, home, now)
         if received.opens:
             search = opening.make_placement_search(
                 self, received, route.service_of(received.flow), now
             )
+            search.was_forwarded = home is not None or not self.is_timely(now)
         elif self.open_flow_searches < MAX_OPEN_FLOW_SEARCHES:
             search = finding.make_location_search(self, received, now)
         else:
@@ -170,6 +174,7 @@
     def on_due(self, now: int) -> list[effects.Effect]:
         """Advance all searches and send all batches that are due."""
         todo = self.ask_unlisted(now)
+        todo.extend(admitting.ask_for_lines(self, now))
         if self.pending:
             todo.extend(self.retry_pending(now))
         if self.ask_batch.due is not None and self.ask_batch.due <= now:
@@ -194,6 +199,8 @@
 
     def on_tick(self, now: int) -> list[effects.Effect]:
         """Drop expired state; while cut off, query one sidecar to detect when that ends."""
+        self.record_tick(now)
+        self.lines.expire(now)
         self.fleet.expire(now)
         self.unresponsive_until = {
             a: until for a, until in self.unresponsive_until.items() if until > now
@@ -220,7 +227,7 @@
 
     def advance_search(self, search: flow_search.Search, now: int) -> list[effects.Effect]:
         """Decide by the answers so far, ask further sidecars, or end the search."""
-        decide = opening.decide_placement if search.is_opening else finding.decide_location
+        decide = admitting.decide_placement if search.is_opening else finding.decide_location
         decided = decide(self, search, now)
         if decided is not None:
             return decided
@@ -233,7 +240,7 @@
             return asking.ask_all(self, search, now)
         until = self.answer_deadline(search)
         if now < until and not search.is_exhausted():
-            self.schedule(search, until)
+            self.schedule(search, admitting.next_check(self, search, until, now))
             return []
         return self.end_failed_search(search, now)
 
@@ -351,6 +358,7 @@
         del balancer.homes[received.flow]
     search = balancer.searches.get(received.flow)
     if search is not None:
+        search.was_forwarded = True
         search.exclude(source)
         search.add_packet(received)
         if search.is_exhausted():
@@ -361,6 +369,7 @@
     todo.extend(balancer.begin_search(received, None, now))
     new_search = balancer.searches.get(received.flow)
     if new_search is not None:
+        new_search.was_forwarded = True
         new_search.exclude(source)
         if new_search.is_exhausted():
             todo.extend(balancer.advance_search(new_search, now))
--- a/src/ebonystile/core/carrying/balancer_state.py
+++ b/src/ebonystile/core/carrying/balancer_state.py
@@ -8,17 +8,21 @@
 import collections
 import dataclasses
 import heapq
+from collections import abc
 
 from ebonystile.core import budget, view
 from ebonystile.core.carrying import (
+    admission,
     announcing,
     batches,
     effects,
     fleet,
     flow_search,
+    flow_sizes,
     messages,
     packet,
     routes,
+    waiting,
 )
 
 FAN_OUT_MESSAGES_PER_S, FAN_OUT_BURST = 1_000, 300
@@ -41,6 +45,17 @@
 """Flows not found that wait for a confirmed view; a further one evicts the oldest."""
 
 
+MAX_TICK_GAP_MS = 250
+"""Gap between two ticks, which are 200 ms apart, beyond which the process has been paused."""
+
+RESUME_MS = 50
+"""Time after the end of a pause in which packets that arrived during it are read, in ms."""
+
+LinkRoomFinder = abc.Callable[[routes.RequestTraits, int], admission.LinkRoom | None]
+"""Returns what the balancer's own link predicts for a request with these traits, at a time in ms,
+or None if it predicts nothing."""
+
+
 @dataclasses.dataclass(slots=True)
 class Home:
     """The upstream that holds a flow; times in ms.
@@ -83,6 +98,12 @@
         self.ask_batch = batches.AskBatch()
         self.probe_batch = batches.ProbeBatch()
         self.fan_out_budget = budget.Budget(FAN_OUT_MESSAGES_PER_S, FAN_OUT_BURST)
+        self.lines = waiting.Lines()
+        self.refused: collections.Counter[str] = collections.Counter()
+        self.find_link_room: LinkRoomFinder | None = None
+        self.flow_sizes = flow_sizes.FlowSizes()
+        self.ticked_at = now
+        self.resumed_at = now - RESUME_MS
 
     def next_due(self) -> int | None:
         """Return the time in ms at which `on_due` must run next, or None."""
@@ -92,6 +113,7 @@
             self.probe_batch.due,
             self.confirmation.ask_at,
             self.pending_until(),
+            self.lines.next_ask_at(),
         )
         return min((due for due in dues if due is not None), default=None)
 
@@ -156,6 +178,20 @@
         """Return how many flows were placed on each upstream at or after a time in ms."""
         return collections.Counter(address for at, address in self.placements if at >= asked_at)
 
+    def record_tick(self, now: int) -> None:
+        """Record the time of the periodic work, and whether a pause has ended."""
+        if now - self.ticked_at > MAX_TICK_GAP_MS:
+            self.resumed_at = now
+        self.ticked_at = now
+
+    def is_timely(self, now: int) -> bool:
+        """Return whether a packet read now has just arrived.
+
+        One that arrived during a pause of this process is so old that its caller may have sent a
+        copy since, which another balancer may have received.
+        """
+        return now - self.ticked_at <= MAX_TICK_GAP_MS and now - self.resumed_at >= RESUME_MS
+
     def answer_deadline(self, search: flow_search.Search) -> int:
         """Return the time in ms until which a search waits for outstanding answers."""
         if any(self.fleet.is_listed(upstream) for upstream in search.pending_upstreams()):
@@ -173,6 +209,7 @@
     def end_search(self, search: flow_search.Search) -> list[effects.Effect]:
         """End a search; the caller's next packet may begin another one."""
         del self.searches[search.flow]
+        self.lines.remove(search.flow)
         self.open_flow_searches -= not search.is_opening
         return []
 
--- a/src/ebonystile/core/carrying/flow_search.py
+++ b/src/ebonystile/core/carrying/flow_search.py
@@ -52,7 +52,9 @@
     holds the addresses that were sent a probe, `excluded` those that answered a probe with ABSENT
     or returned a packet. `revision` is the newest revision of the store in the answers. `attempt`
     counts the consecutive searches for an open flow, including this one. `is_deferred` is set while
-    a new flow waits because all upstreams are overloaded.
+    a new flow waits because all upstreams are overloaded. `opened_at` is when the caller of a new
+    flow sent its first opening packet, and `was_forwarded` is set if this balancer may have
+    forwarded one of them.
     """
 
     flow: packet.Flow
@@ -71,6 +73,8 @@
     )
     attempt: int = 1
     is_deferred: bool = False
+    opened_at: int = 0
+    was_forwarded: bool = False
     revision: int = 0
     excluded: set[view.Address] = dataclasses.field(default_factory=set)
     probed: set[view.Address] = dataclasses.field(default_factory=set)
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -6,6 +6,7 @@
 
 from ebonystile.core import view
 from ebonystile.core.carrying import (
+    admission,
     balancer_state,
     effects,
     fleet,
@@ -45,6 +46,7 @@
         rounds = placing.later_rounds(flow, local, remote)
         make_later_rounds = None
     search = flow_search.Search(flow, service, [received], rounds, started_at=now, due=now)
+    search.opened_at = admission.opened_at(received.copy_number, now)
     if len(state.searches) >= MAX_FULL_SEARCHES:
         search.rounds = rounds[:1]
     elif len(local) + len(remote) > sum(map(len, rounds)):
@@ -59,6 +61,20 @@
     holder = search.holder()
     if holder is not None:
         return place_flow(state, search, holder, now)
+    chosen = find_candidate(state, search, now)
+    if chosen is None:
+        return None
+    if chosen.is_overloaded and now < search.started_at + MAX_DEFER_MS:
+        return defer_placement(state, search, chosen, now)
+    if chosen.load.full:
+        return reject_flow(state, search, chosen, now)
+    return place_flow(state, search, chosen.upstream, now, chosen)
+
+
+def find_candidate(
+    state: balancer_state.BalancerState, search: flow_search.Search, now: int
+) -> placing.Candidate | None:
+    """Return the best upstream by the answers so far, or None to wait for more of them."""
     chosen = placing.pick_best(
         placing.compare_candidates(estimate_loads(state, search), state.zone, now)
     )
@@ -68,11 +84,7 @@
         return None
     if chosen.load.unresponsive and not search.has_all_answers() and now < search.deadline:
         return None
-    if chosen.is_overloaded and now < search.started_at + MAX_DEFER_MS:
-        return defer_placement(state, search, chosen, now)
-    if chosen.load.full:
-        return reject_flow(state, search, chosen, now)
-    return place_flow(state, search, chosen.upstream, now, chosen)
+    return chosen
 
 
 def estimate_loads(
@@ -108,16 +120,26 @@
     After an outage, requests on open flows fill every upstream's queue for about half a second. A
     caller that is refused retries at once and would use up its retries in that time.
     """
+    again = renew_search(state, search, now)
+    state.schedule(again, now + DEFER_STEP_MS)
+    if search.is_deferred:
+        return []
+    return [effects.trace("held", flow=packet.flow_text(search.flow), **placement_inputs(chosen))]
+
+
+def renew_search(
+    state: balancer_state.BalancerState, search: flow_search.Search, now: int
+) -> flow_search.Search:
+    """Replace the search of a flow that waits by one that queries the sidecars again."""
     again = make_placement_search(state, search.packets[-1], search.service, now)
     again.started_at = search.started_at
+    again.opened_at = search.opened_at
     again.packets = search.packets
     again.excluded = search.excluded
-    state.searches[search.flow] = again
-    state.schedule(again, now + DEFER_STEP_MS)
+    again.was_forwarded = search.was_forwarded
     again.is_deferred = True
-    if search.is_deferred:
-        return []
-    return [effects.trace("held", flow=packet.flow_text(search.flow), **placement_inputs(chosen))]
+    state.searches[search.flow] = again
+    return again
 
 
 def reject_flow(
@@ -146,6 +168,8 @@
     state.remember_home(search.flow, upstream, now)
     if chosen is not None:
         state.record_placement(upstream, now)
+    if state.find_link_room is not None:
+        state.flow_sizes.begin(search.packets[-1], now)
     key = view.key_of(search.service)
     version = state.route_table.routes.version
     opening = messages.Open(key, version, search.packets[-1].raw)
--- /dev/null
+++ b/src/ebonystile/core/carrying/waiting.py
@@ -0,0 +1,155 @@
+"""Keep the new flows that wait for room, in the order in which they are admitted.
+
+The order is by priority, then fair among callers, then by age. Fair means that a caller's flows
+take turns with those of others: a flow's turn is the number of flows of its caller that wait before
+it, plus those admitted in about the last second.
+"""
+
+import collections
+import dataclasses
+
+from ebonystile.core import fairness
+from ebonystile.core.carrying import fleet, messages, packet
+
+CALLER_BYTES = 4
+"""Size of the caller's address at the start of a flow. The port is left out, as every try of a
+caller has another one."""
+
+MAX_CALLERS = 4_096
+"""Callers whose rate of admissions is kept; a further one evicts the oldest."""
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A flow that waits; `opened_at` and `asked_at`, the time of its last queries, in ms."""
+
+    flow: packet.Flow
+    priority: int
+    opened_at: int
+    asked_at: int
+
+    @property
+    def caller(self) -> bytes:
+        """Return the caller's address."""
+        return self.flow[:CALLER_BYTES]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """The answers to one flow's queries, sent at `asked_at` (ms)."""
+
+    asked_at: int
+    answers: list[tuple[fleet.Upstream, messages.Answer]]
+
+
+@dataclasses.dataclass(slots=True)
+class Line:
+    """The flows that wait for the upstreams of one service.
+
+    `ask_at` is the time in ms of the next queries on behalf of all of them, `report` the latest
+    answers. `admitted` is the rate of admissions, `admitted_by_caller` that of each caller.
+    """
+
+    entries: dict[packet.Flow, Entry] = dataclasses.field(default_factory=dict)
+    ask_at: int = 0
+    report: Report | None = None
+    admitted: fairness.Rate = dataclasses.field(default_factory=fairness.Rate)
+    admitted_by_caller: dict[bytes, fairness.Rate] = dataclasses.field(default_factory=dict)
+
+    def add(self, entry: Entry, ask_at: int) -> None:
+        """Add a flow; the next queries for the line are sent at `ask_at` if it was empty."""
+        if not self.entries:
+            self.ask_at = ask_at
+        self.entries[entry.flow] = entry
+
+    def ordered(self, now: int) -> list[Entry]:
+        """Return the flows in the order in which they are admitted."""
+        turns: dict[bytes, int] = {}
+        keys = {}
+        for entry in sorted(self.entries.values(), key=age_order):
+            turn = turns.get(entry.caller)
+            if turn is None:
+                turn = self.admitted_lately(entry.caller, now)
+            turns[entry.caller] = turn + 1
+            keys[entry.flow] = (entry.priority, turn, entry.opened_at)
+        return sorted(self.entries.values(), key=lambda entry: keys[entry.flow])
+
+    def admitted_lately(self, caller: bytes, now: int) -> int:
+        """Return how many flows of the caller were admitted in about the last second."""
+        rate = self.admitted_by_caller.get(caller)
+        return round(rate.decayed(now)) if rate is not None else 0
+
+    def record_admission(self, flow: packet.Flow, now: int) -> None:
+        """Count a flow that was admitted, against its caller only while others wait."""
+        self.admitted.add(now)
+        if not self.entries:
+            return
+        caller = flow[:CALLER_BYTES]
+        rate = self.admitted_by_caller.pop(caller, None) or fairness.Rate()
+        if len(self.admitted_by_caller) >= MAX_CALLERS:
+            del self.admitted_by_caller[next(iter(self.admitted_by_caller))]
+        rate.add(now)
+        self.admitted_by_caller[caller] = rate
+
+    def next_asker(self) -> Entry:
+        """Return the flow to query for: the one whose own queries are the oldest.
+
+        Each flow ranks the upstreams in its own way, so the queries reach all of them in turn.
+        """
+        return min(self.entries.values(), key=lambda entry: entry.asked_at)
+
+    def expire(self, now: int) -> bool:
+        """Drop decayed rates; return whether the line holds nothing any more."""
+        self.admitted_by_caller = {
+            caller: rate
+            for caller, rate in self.admitted_by_caller.items()
+            if rate.decayed(now) >= fairness.MIN_RATE
+        }
+        return not self.entries and self.admitted.decayed(now) < fairness.MIN_RATE
+
+
+Key = tuple[str, tuple[str, ...]]
+"""What the flows of a line have in common: their service and the regions of their routes."""
+
+
+class Lines:
+    """The lines of one balancer, and the line of each flow that waits."""
+
+    def __init__(self) -> None:
+        self.by_key: collections.defaultdict[Key, Line] = collections.defaultdict(Line)
+        self.by_flow: dict[packet.Flow, Line] = {}
+
+    def next_ask_at(self) -> int | None:
+        """Return the time in ms of the next queries for a line, or None."""
+        if not self.by_flow:
+            return None
+        return min(line.ask_at for line in self.by_key.values() if line.entries)
+
+    def due(self, now: int) -> list[Line]:
+        """Return the lines whose queries are due."""
+        if not self.by_flow:
+            return []
+        return [line for line in self.by_key.values() if line.entries and line.ask_at <= now]
+
+    def add(self, key: Key, entry: Entry, ask_at: int) -> None:
+        """Add a flow to a line, unless it waits already."""
+        if entry.flow in self.by_flow:
+            return
+        line = self.by_flow[entry.flow] = self.by_key[key]
+        line.add(entry, ask_at)
+
+    def remove(self, flow: packet.Flow) -> None:
+        """Remove a flow, if it waits."""
+        line = self.by_flow.pop(flow, None)
+        if line is not None:
+            del line.entries[flow]
+
+    def expire(self, now: int) -> None:
+        """Drop the lines that hold nothing any more."""
+        for key in [key for key, line in self.by_key.items() if line.expire(now)]:
+            del self.by_key[key]
+
+
+def age_order(entry: Entry) -> int:
+    """Return the sort key that puts the oldest flow first."""
+    return entry.opened_at
--- a/src/ebonystile/operator/carried.py
+++ b/src/ebonystile/operator/carried.py
@@ -15,6 +15,8 @@
     "within {searched_ms} ms (copy {copy} of the opening packet, configuration {version}).",
     "not_placed": "It was not placed: {answered} of {asked} sidecars answered within "
     "{searched_ms} ms, and none of them could accept it (reset sent: {reset}).",
+    "refused": "It was not admitted after {searched_ms} ms: {reason} (predicted wait "
+    "{predicted_wait_ms} ms, time limit {timeout_ms} ms, reset sent: {reset}).",
     "open_refused": "A sidecar refused it: {reason}.",
     "open_returned": "Its upstream was full and returned the opening packet.",
     "found": "A balancer without a record of it found it at {upstream} after {searched_ms} ms.",
--- a/src/ebonystile/operator/causes.py
+++ b/src/ebonystile/operator/causes.py
@@ -23,6 +23,7 @@
     UPSTREAM_LOST = "upstream lost it, reset sent"
     NO_ROUTE = "no route"
     NO_UPSTREAM = "no upstream accepted it"
+    NOT_ADMITTED = "not admitted, reset sent"
     REFUSED = "refused once, then placed"
     DEFERRED = "deferred, then placed"
 
@@ -36,7 +37,7 @@
 }
 """The cause that an event implies on its own; a later event may override a delay."""
 
-DISRUPTION_EVENTS = frozenset({*CAUSE_BY_EVENT, "not_found", "flow_reset"})
+DISRUPTION_EVENTS = frozenset({*CAUSE_BY_EVENT, "not_found", "flow_reset", "refused"})
 """Events that mark a flow as disrupted."""
 
 DELAY_CAUSES = frozenset({Cause.REFUSED, Cause.DEFERRED})
@@ -113,6 +114,9 @@
         return Cause.NO_ROUTE if line.fields.get("reason") == "no_route" else Cause.NO_UPSTREAM
     if line.event == "not_found":
         return Cause.LOST_RESET if line.fields.get("reset") == "true" else None
+    if line.event == "refused":
+        # Without a reset the caller's next copy may still be placed.
+        return Cause.NOT_ADMITTED if line.fields.get("reset") == "true" else Cause.REFUSED
     return CAUSE_BY_EVENT.get(line.event)
 
 
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -54,6 +54,13 @@
     assert classify(*refused) == (causes.Cause.NO_UPSTREAM, 1_000, 30)
 
 
+def test_a_flow_that_was_not_admitted_counts_by_whether_a_reset_was_sent():
+    reset = [line(1_000, "held"), line(1_250, "refused", reset="true")]
+    assert classify(*reset) == (causes.Cause.NOT_ADMITTED, 1_000, 250)
+    dropped = [line(1_000, "refused", reset="false"), line(1_400, "opened")]
+    assert classify(*dropped) == (causes.Cause.REFUSED, 1_000, 400)
+
+
 def test_the_reason_of_a_reset_decides_the_cause():
     assert classify(line(5, "flow_reset", reason="no_route")) == (causes.Cause.NO_ROUTE, 5, 0)
     assert classify(line(5, "flow_reset", reason="no_upstream")) == (causes.Cause.NO_UPSTREAM, 5, 0)
