Predict the wait of new flows by admissions while others wait

Cause: the rate of admissions was averaged over all of the last second. Before flows wait it is the rate of the demand, so that a burst of new flows after a quiet time was refused as crowded: of 96 flows that opened at the same time on 8 slots 12 were refused, with upstreams that ran nothing.

Change: the rate counts only while flows wait, and predicts nothing in the first 100 ms. The flows before a new one may take half of its wait. One answer places at most one flow per slot on an upstream whose slots are all busy.

Conclusion: the capacity is served with a rate that shows the room and not the demand.

--- a/src/ebonystile/core/carrying/admission.py
+++ b/src/ebonystile/core/carrying/admission.py
@@ -25,6 +25,10 @@
 """Least share of the objective for which a flow may wait. Predictions are rough, and a caller that
 is refused retries at once, so that a short lack of room would use up its tries."""
 
+LINE_SHARE = 0.5
+"""Share of a flow's wait that the flows before it may take by the prediction. Those that come later
+with a higher priority or another caller's turn take the rest."""
+
 MIN_KNOWN_RATE_PER_S = 5.0
 """Rate of admissions, in flows per second, from which it predicts how long the flows before a new
 one wait. At lower rates a single admission changes the prediction too much."""
@@ -196,7 +200,7 @@
         return Admit()
     until = wait_until(request, room)
     if now < until:
-        is_crowded = is_unopened and now + room.line_ms > until
+        is_crowded = is_unopened and room.line_ms > LINE_SHARE * (until - now)
         return Refuse(Reason.CROWDED) if is_crowded else Wait(until)
     return decide_last(request, room, now)
 
--- a/src/ebonystile/core/carrying/admitting.py
+++ b/src/ebonystile/core/carrying/admitting.py
@@ -159,16 +159,16 @@
 def has_room(candidate: placing.Candidate, placed: int) -> bool:
     """Return whether the upstream takes one more flow.
 
-    `placed` flows were placed on it since it was queried, and are included in its load. One answer
-    must not place more than its queue holds, also while its slots are free: each balancer would
-    place as many. Flows that open without a request fill the queue in appearance only, so an
-    upstream with a free slot takes some more.
+    `placed` flows were placed on it since it was queried. One answer must not place more than its
+    queue holds, and only one per slot while no slot is free: all balancers place flows by the same
+    answers, and the next answer shows the room that is left. Flows opened earlier don't count while
+    a slot is free, as they may have no request.
     """
     load = candidate.load
     if load.unresponsive or candidate.is_overloaded:
         return False
     slots = max(1, load.slots)
-    return load.running < placing.OVERLOADED_REQUESTS_PER_SLOT * slots or placed < slots
+    return placed < (slots if load.saturated else placing.OVERLOADED_REQUESTS_PER_SLOT * slots)
 
 
 def decide_flow(
@@ -205,12 +205,13 @@
     now: int,
 ) -> admission.Room:
     """Return the room for the first flow of a line, at the upstream and on this balancer's link."""
-    admitted_per_s = line.admitted.decayed(now)
     link, size = None, 0.0
     if state.find_link_room is not None:
         link = state.find_link_room(state.route_table.routes.traits_of(search.flow), now)
         size = state.flow_sizes.average(search.flow)
-    room = admission.Room(False, admitted_per_s=admitted_per_s, link=link, request_bytes=size)
+    room = admission.Room(
+        False, admitted_per_s=line.admitted_per_s(now), link=link, request_bytes=size
+    )
     if choice is None:
         return room
     return dataclasses.replace(
@@ -253,6 +254,7 @@
 @carry_out.register
 def _(verdict: admission.Wait, state, line, search, choice, now):
     state.schedule(search, max(now + 1, verdict.until))
+    line.record_wait(now)
     if search.is_deferred:
         return []
     search.is_deferred = True
--- a/src/ebonystile/core/carrying/waiting.py
+++ b/src/ebonystile/core/carrying/waiting.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 
 from ebonystile.core import fairness
 from ebonystile.core.carrying import fleet, messages, packet
@@ -18,6 +19,10 @@
 MAX_CALLERS = 4_096
 """Callers whose rate of admissions is kept; a further one evicts the oldest."""
 
+MEASURED_MS = 100
+"""Time in ms for which flows must have waited until the rate of admissions is known, and after
+which it is forgotten if none waits: before, it shows the demand and not the room."""
+
 
 @dataclasses.dataclass(slots=True)
 class Entry:
@@ -47,12 +52,15 @@
     """The flows that wait for the upstreams of one service.
 
     `ask_at` is the time in ms of the next queries on behalf of all of them, `report` the latest
-    answers. `admitted` is the rate of admissions, `admitted_by_caller` that of each caller.
+    answers. `admitted` is the rate of admissions since flows began to wait at `began_at`, and
+    `admitted_by_caller` that of each caller. `waited_at` is when a flow last had to wait.
     """
 
     entries: dict[packet.Flow, Entry] = dataclasses.field(default_factory=dict)
     ask_at: int = 0
     report: Report | None = None
+    began_at: int = 0
+    waited_at: int = 0
     admitted: fairness.Rate = dataclasses.field(default_factory=fairness.Rate)
     admitted_by_caller: dict[bytes, fairness.Rate] = dataclasses.field(default_factory=dict)
 
@@ -79,6 +87,23 @@
         rate = self.admitted_by_caller.get(caller)
         return round(rate.decayed(now)) if rate is not None else 0
 
+    def record_wait(self, now: int) -> None:
+        """Record that a flow has to wait."""
+        if now - self.waited_at > MEASURED_MS:
+            self.began_at = now
+            self.admitted = fairness.Rate()
+        self.waited_at = now
+
+    def admitted_per_s(self, now: int) -> float:
+        """Return the rate at which flows are admitted while others wait, 0 if unknown.
+
+        The average is scaled up while it covers less than its window.
+        """
+        measured_ms = now - self.began_at
+        if measured_ms < MEASURED_MS or now - self.waited_at > MEASURED_MS:
+            return 0.0
+        return self.admitted.decayed(now) / -math.expm1(-measured_ms / fairness.RATE_WINDOW_MS)
+
     def record_admission(self, flow: packet.Flow, now: int) -> None:
         """Count a flow that was admitted, against its caller only while others wait."""
         self.admitted.add(now)
--- a/tests/carrying/test_admission.py
+++ b/tests/carrying/test_admission.py
@@ -189,6 +189,21 @@
     assert line.ordered(NOW + 2_000) == [first, second]
 
 
+def test_the_rate_of_admissions_is_known_only_after_flows_have_waited():
+    """Before, it is the rate of the demand, by which a burst of new flows would be refused."""
+    line = make_line(make_entry("10.0.0.1", 1))
+    flow = make_entry("10.0.0.2", 1).flow
+    line.record_admission(flow, NOW - 500)
+    for after in range(0, 200, 10):
+        line.record_wait(NOW + after)
+        line.record_admission(flow, NOW + after)
+        assert bool(line.admitted_per_s(NOW + after)) is (after >= waiting.MEASURED_MS)
+    assert 90 <= line.admitted_per_s(NOW + 200) <= 110
+    assert line.admitted_per_s(NOW + 200 + waiting.MEASURED_MS) == 0
+    line.record_wait(NOW + 900)
+    assert line.admitted_per_s(NOW + 900) == 0
+
+
 def test_the_callers_of_a_line_are_bounded(monkeypatch):
     monkeypatch.setattr(waiting, "MAX_CALLERS", 3)
     line = make_line(make_entry("10.0.0.1", 1))
@@ -303,6 +318,25 @@
     assert len(set(asked)) >= 7
 
 
+def test_many_flows_without_requests_open_at_once():
+    """After an outage idle flows are opened again, which take no room while they send nothing."""
+    scene = loaded.DemandWorld(upstreams=4, balancers=2)
+    callers = [scene.caller(40_000 + n, through=scene.balancers[n % 2]) for n in range(96)]
+    scene.run(100)
+    assert all(caller.open for caller in callers)
+
+
+def test_a_flow_is_not_placed_by_old_answers(no_room):
+    scene = loaded.DemandWorld(upstreams=2, balancers=1)
+    core = scene.balancers[0].core
+    search_flow = scene.request().tries[0].flow
+    scene.run(20)
+    search, line = core.searches[search_flow], core.lines.by_flow[search_flow]
+    assert admitting.choose(core, line, search, scene.now) is not None
+    later = line.report.asked_at + admitting.REPORT_TTL_MS + 1
+    assert admitting.choose(core, line, search, later) is None
+
+
 def test_lost_answers_delay_a_waiting_flow_until_the_next_query(monkeypatch):
     scene = loaded.DemandWorld(upstreams=2, balancers=1)
     address = scene.balancers[0].address
@@ -522,8 +556,9 @@
         load = messages.Load(running=running, slots=2, **more)
         return admitting.has_room(placing.Candidate(upstream, load, 1.0, True), placed)
 
-    assert has_room(7, 7) and has_room(8, 1)
-    assert not has_room(8, 2)
+    assert has_room(7, 7) and has_room(20, 0)
+    assert not has_room(8, 8)
+    assert has_room(4, 1, saturated=True) and not has_room(4, 2, saturated=True)
     assert not has_room(8, 0, saturated=True)
     assert not has_room(0, 0, unresponsive=True)
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -803,7 +803,7 @@
     Mutation(
         "a flow is refused at once if those before it take all the room",
         CORE + "carrying/admission.py",
-        "is_crowded = is_unopened and now + room.line_ms > until",
+        "is_crowded = is_unopened and room.line_ms > LINE_SHARE * (until - now)",
         "is_crowded = False",
     ),
     Mutation(
@@ -833,8 +833,8 @@
     Mutation(
         "one answer admits no more flows than the queues hold",
         CORE + "carrying/admitting.py",
-        "return load.running < placing.OVERLOADED_REQUESTS_PER_SLOT * slots or placed < slots",
-        "return True",
+        "return placed < (slots if load.saturated else",
+        "return 0 < (slots if load.saturated else",
     ),
     Mutation(
         "a disconnected balancer refuses new flows early",
