Give an unresponsive upstream a single waiting flow as a trial

Cause: a sidecar reports an unresponsive upstream as responsive until it has got one new flow. The answer with this report served all waiting flows: of 20, 8 went to the upstream that did not answer, and needed a copy each.

Change: a line remembers for 1 s which upstreams were reported unresponsive and places one flow by one answer on them.

Conclusion: waiting flows don't multiply the cost of a trial.

--- a/src/ebonystile/core/carrying/admitting.py
+++ b/src/ebonystile/core/carrying/admitting.py
@@ -17,6 +17,7 @@
     effects,
     fleet,
     flow_search,
+    messages,
     opening,
     packet,
     placing,
@@ -66,8 +67,7 @@
         return opening.place_flow(state, search, holder, now)
     line = line_of(state, search)
     if opening.find_candidate(state, search, now) is not None:
-        if line.report is None or line.report.asked_at <= search.asked_at:
-            line.report = waiting.Report(search.asked_at, search.ordered_answers())
+        line.record_report(waiting.Report(search.asked_at, search.ordered_answers()))
         return serve_line(state, line, search, now)
     if is_disconnected(state, search, now):
         return refuse(state, search, admission.Reason.DISCONNECTED, None, now)
@@ -132,7 +132,16 @@
         if upstream.address not in search.excluded
     ]
     candidates = placing.compare_candidates(loads, state.zone, now)
-    roomy = [c for c in candidates if has_room(c, placed[c.upstream.address])]
+    roomy = [
+        candidate
+        for candidate in candidates
+        if has_room(
+            candidate.load,
+            placed[candidate.upstream.address],
+            is_overloaded=candidate.is_overloaded,
+            is_on_trial=line.is_on_trial(candidate.upstream.address, now),
+        )
+    ]
     best = placing.pick_best(roomy or candidates)
     return Choice(best, bool(roomy), usual_latency(report)) if best is not None else None
 
@@ -156,16 +165,17 @@
     return line.report
 
 
-def has_room(candidate: placing.Candidate, placed: int) -> bool:
+def has_room(
+    load: messages.Load, placed: int, *, is_overloaded: bool, is_on_trial: bool = False
+) -> bool:
     """Return whether the upstream takes one more flow.
 
     `placed` flows were placed on it since it was queried. One answer must not place more than its
     queue holds, and only one per slot while no slot is free: all balancers place flows by the same
     answers, and the next answer shows the room that is left. Flows opened earlier don't count while
-    a slot is free, as they may have no request.
+    a slot is free, as they may have no request. An upstream on trial gets a single flow.
     """
-    load = candidate.load
-    if load.unresponsive or candidate.is_overloaded:
+    if load.unresponsive or is_overloaded or (is_on_trial and placed):
         return False
     slots = max(1, load.slots)
     return placed < (slots if load.saturated else placing.OVERLOADED_REQUESTS_PER_SLOT * slots)
--- a/src/ebonystile/core/carrying/waiting.py
+++ b/src/ebonystile/core/carrying/waiting.py
@@ -9,7 +9,7 @@
 import dataclasses
 import math
 
-from ebonystile.core import fairness
+from ebonystile.core import fairness, view
 from ebonystile.core.carrying import fleet, messages, packet
 
 CALLER_BYTES = 4
@@ -23,6 +23,10 @@
 """Time in ms for which flows must have waited until the rate of admissions is known, and after
 which it is forgotten if none waits: before, it shows the demand and not the room."""
 
+TRIAL_MEMORY_MS = 1_000
+"""Time in ms for which an upstream is on trial after it was reported unresponsive: two intervals of
+the trials of its sidecar."""
+
 
 @dataclasses.dataclass(slots=True)
 class Entry:
@@ -54,6 +58,7 @@
     `ask_at` is the time in ms of the next queries on behalf of all of them, `report` the latest
     answers. `admitted` is the rate of admissions since flows began to wait at `began_at`, and
     `admitted_by_caller` that of each caller. `waited_at` is when a flow last had to wait.
+    `unresponsive_at` has when upstreams were last reported unresponsive.
     """
 
     entries: dict[packet.Flow, Entry] = dataclasses.field(default_factory=dict)
@@ -63,6 +68,7 @@
     waited_at: int = 0
     admitted: fairness.Rate = dataclasses.field(default_factory=fairness.Rate)
     admitted_by_caller: dict[bytes, fairness.Rate] = dataclasses.field(default_factory=dict)
+    unresponsive_at: dict[view.Address, int] = dataclasses.field(default_factory=dict)
 
     def add(self, entry: Entry, ask_at: int) -> None:
         """Add a flow; the next queries for the line are sent at `ask_at` if it was empty."""
@@ -70,6 +76,23 @@
             self.ask_at = ask_at
         self.entries[entry.flow] = entry
 
+    def record_report(self, report: Report) -> None:
+        """Use these answers from now on, unless they are older than the latest ones."""
+        if self.report is not None and self.report.asked_at > report.asked_at:
+            return
+        self.report = report
+        for upstream, answer in report.answers:
+            if answer.load.unresponsive:
+                self.unresponsive_at[upstream.address] = report.asked_at
+
+    def is_on_trial(self, address: view.Address, now: int) -> bool:
+        """Return whether the upstream was reported unresponsive lately.
+
+        Its sidecar then reports it responsive from time to time until it gets one new flow.
+        """
+        at = self.unresponsive_at.get(address)
+        return at is not None and now - at <= TRIAL_MEMORY_MS
+
     def ordered(self, now: int) -> list[Entry]:
         """Return the flows in the order in which they are admitted."""
         turns: dict[bytes, int] = {}
@@ -130,6 +153,11 @@
             for caller, rate in self.admitted_by_caller.items()
             if rate.decayed(now) >= fairness.MIN_RATE
         }
+        self.unresponsive_at = {
+            address: at
+            for address, at in self.unresponsive_at.items()
+            if now - at <= TRIAL_MEMORY_MS
+        }
         return not self.entries and self.admitted.decayed(now) < fairness.MIN_RATE
 
 
--- a/tests/carrying/test_admission.py
+++ b/tests/carrying/test_admission.py
@@ -337,6 +337,18 @@
     assert admitting.choose(core, line, search, later) is None
 
 
+def test_an_upstream_that_is_unresponsive_gets_one_waiting_flow_as_a_trial():
+    """The answer that asks for a trial serves all waiting flows, which would need a copy each."""
+    scene = loaded.DemandWorld(upstreams=2, balancers=1)
+    scene.sidecars[0].upstream.alive = False
+    for port in range(40_001, 40_011):
+        scene.caller(port)
+    scene.run(500)
+    callers = [scene.caller(port) for port in range(41_001, 41_021)]
+    scene.run(150)
+    assert sum(caller.open for caller in callers) >= 19
+
+
 def test_lost_answers_delay_a_waiting_flow_until_the_next_query(monkeypatch):
     scene = loaded.DemandWorld(upstreams=2, balancers=1)
     address = scene.balancers[0].address
@@ -549,17 +561,15 @@
 
 def test_one_answer_admits_no_more_flows_than_the_queues_hold():
     """Without the limit all flows that wait would go to the upstreams by the same answers."""
-    scene = loaded.DemandWorld(upstreams=2, balancers=1)
-    upstream = next(iter(scene.balancers[0].core.fleet.upstreams.values()))
 
-    def has_room(running, placed, **more):
+    def has_room(running, placed, is_overloaded=False, **more):
         load = messages.Load(running=running, slots=2, **more)
-        return admitting.has_room(placing.Candidate(upstream, load, 1.0, True), placed)
+        return admitting.has_room(load, placed, is_overloaded=is_overloaded)
 
     assert has_room(7, 7) and has_room(20, 0)
     assert not has_room(8, 8)
     assert has_room(4, 1, saturated=True) and not has_room(4, 2, saturated=True)
-    assert not has_room(8, 0, saturated=True)
+    assert not has_room(8, 0, is_overloaded=True)
     assert not has_room(0, 0, unresponsive=True)
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -836,6 +836,18 @@
         "return placed < (slots if load.saturated else",
         "return 0 < (slots if load.saturated else",
     ),
+    Mutation(
+        "an unresponsive upstream gets one waiting flow as a trial",
+        CORE + "carrying/waiting.py",
+        "return at is not None and now - at <= TRIAL_MEMORY_MS",
+        "return False",
+    ),
+    Mutation(
+        "the rate of admissions is known only after flows have waited",
+        CORE + "carrying/waiting.py",
+        "if measured_ms < MEASURED_MS or now - self.waited_at > MEASURED_MS:",
+        "if not measured_ms:",
+    ),
     Mutation(
         "a disconnected balancer refuses new flows early",
         CORE + "carrying/admitting.py",
