--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -1,11 +1,12 @@
 """The balancer daemon: connects the balancer core to sockets, timers and the store feed."""
 
+import functools
 import typing
 
 from ebonystile import clock, loop
 from ebonystile.carrier import link, shell
 from ebonystile.core import view
-from ebonystile.core.carrying import balancer, effects, messages, packet, scheduling
+from ebonystile.core.carrying import admitting, balancer, effects, messages, packet, scheduling
 from ebonystile.platform import entries, node, packets
 
 if typing.TYPE_CHECKING:
@@ -47,6 +48,7 @@
         self.core.link = scheduling.make_scheduler(self.settings.link_mbps, clock.now())
         if self.core.link is None:
             return None
+        self.core.find_link_room = functools.partial(admitting.find_link_room, self.core.link)
         # Without a link that needs scheduling, messages are sent without any further call.
         self.effect_handlers[effects.Send] = lambda effect, _: self.link.send_message(effect)
         return link.Link(
@@ -65,6 +67,8 @@
         registry.gauge("searches", "Searches under way.", lambda: len(self.core.searches))
         if self.link is not None:
             self.link.add_metrics(registry)
+        registry.gauge("waiting", "Flows that wait for room.", lambda: len(self.core.lines.by_flow))
+        registry.tally("refused", "Flows refused admission.", self.core.refused, "reason")
 
     def is_ready(self) -> bool:
         """Return whether packets can be served.
--- a/src/ebonystile/operator/carried.py
+++ b/src/ebonystile/operator/carried.py
@@ -15,8 +15,9 @@
     "within {searched_ms} ms (copy {copy} of the opening packet, configuration {version}).",
     "held": "It was deferred: the best upstream that answered has {running} requests running, at "
     "cost {cost}.",
-    "refused": "It was refused before it was opened, so nothing has run ({reason}): predicted "
-    "{predicted_ms} ms, with a time limit of {timeout_ms} ms; it had waited {waited_ms} ms.",
+    "refused": "It was refused before it was opened, so nothing has run ({reason}): predicted wait "
+    "{predicted_wait_ms} ms, with a time limit of {timeout_ms} ms; it had waited {searched_ms} ms "
+    "(reset sent: {reset}).",
     "not_placed": "It was not placed: {answered} of {asked} sidecars answered within "
     "{searched_ms} ms, and none of them could accept it (reset sent: {reset}).",
     "open_refused": "A sidecar refused it: {reason}.",
--- a/src/ebonystile/operator/causes.py
+++ b/src/ebonystile/operator/causes.py
@@ -31,14 +31,13 @@
 CAUSE_BY_EVENT = {
     "flow_lost": Cause.UPSTREAM_LOST,
     "not_placed": Cause.NO_UPSTREAM,
-    "refused": Cause.NOT_IN_TIME,
     "open_refused": Cause.REFUSED,
     "open_returned": Cause.REFUSED,
     "held": Cause.DEFERRED,
 }
 """The cause that an event implies on its own; a later event may override a delay."""
 
-DISRUPTION_EVENTS = frozenset({*CAUSE_BY_EVENT, "not_found", "flow_reset"})
+DISRUPTION_EVENTS = frozenset({*CAUSE_BY_EVENT, "not_found", "flow_reset", "refused"})
 """Events that mark a flow as disrupted."""
 
 DELAY_CAUSES = frozenset({Cause.REFUSED, Cause.DEFERRED})
@@ -123,6 +122,9 @@
         return Cause.NO_ROUTE if line.fields.get("reason") == "no_route" else Cause.NO_UPSTREAM
     if line.event == "not_found":
         return Cause.LOST_RESET if line.fields.get("reset") == "true" else None
+    if line.event == "refused":
+        # Without a reset the caller's next copy may still be placed.
+        return Cause.NOT_IN_TIME if line.fields.get("reset") == "true" else Cause.REFUSED
     return CAUSE_BY_EVENT.get(line.event)
 
 
