Restore reasons that the rewording of the comments had dropped

Change: twelve reasons are back, in one or two sentences with today's names. Left out are those that the present text still implies and a cost of a log line that was not measured again. Conclusion: comments and doc comments only; the syntax trees without doc strings are the same.

--- a/src/ebonystile/carrier/feed.py
+++ b/src/ebonystile/carrier/feed.py
@@ -11,7 +11,7 @@
 
 CATCH_UP_DELAY_MS = 300
 """How long to wait for the watch to deliver a newer version that a peer has, in ms, before all
-lists are read again."""
+lists are read again, which costs two calls. The version is usually on its way."""
 
 
 class StoreFeed:
--- a/src/ebonystile/core/calls/balancer.py
+++ b/src/ebonystile/core/calls/balancer.py
@@ -103,7 +103,7 @@
         return Drop("no_token")
     upstream, _, token_service = view.TOKEN.unpack(data)
     if token_service != view.key_of(service_name):
-        # The home checks this too.
+        # The home checks this too. A token of one service proves nothing about another.
         return Drop("wrong_service")
     home = balancer.view.endpoints.get(upstream)
     if home is not None:
--- a/src/ebonystile/core/calls/call.py
+++ b/src/ebonystile/core/calls/call.py
@@ -20,6 +20,7 @@
 HEARTBEATS_PER_LEASE = 3
 """The next heartbeat is sent after the remaining lease divided by this number.
 
+At intervals as long as the lease, an idle flow would end just as its heartbeat arrives.
 So several heartbeats fit into any lease, and a lost one does not end an idle flow.
 """
 
@@ -428,7 +429,8 @@
             )
         elif is_new and have % messages.WINDOW == 0:
             # A repeated part triggers no fetch: each would bring a whole window, whose repeated
-            # parts would each trigger another one.
+            # parts would each trigger another one. One late packet of a large answer became
+            # thousands.
             self.send_fetch(pending)
 
     @on_message.register
--- a/src/ebonystile/core/calls/feeds.py
+++ b/src/ebonystile/core/calls/feeds.py
@@ -164,8 +164,9 @@
 def resend(state: sidecar_state.SidecarState, now: int) -> None:
     """Resend the first unacknowledged event, through another balancer every second time.
 
-    Only one event is resent, and its acknowledgement reopens the window: resending all of them
-    would keep slow callers and balancers overloaded. The balancer is changed because the flow's
+    Only one event is resent, and its acknowledgement reopens the window: resending all of them gave
+    callers and balancers that were slow for some seconds 20 times the usual messages, which kept
+    them slow. The balancer is changed because the flow's
     last one may be dead, and the caller, which receives no events, acknowledges none through a
     live one.
     """
--- a/src/ebonystile/core/calls/siblings.py
+++ b/src/ebonystile/core/calls/siblings.py
@@ -133,7 +133,8 @@
     """Return the choice with the fewest flows for its weight, and count one more flow there.
 
     Only choices with a known load and free capacity are compared; None if there are none. Flows
-    sent since the last report count, so that one process does not overload one sibling.
+    sent since the last report count, so that one process does not overload one sibling; of several
+    processes that leave at the same time, each adds at most the share that it would fill alone.
     """
     table = state.balance.table
     candidates = [
--- a/src/ebonystile/core/carrying/batches.py
+++ b/src/ebonystile/core/carrying/batches.py
@@ -25,6 +25,9 @@
 class AskBatch:
     """The searches that wait to query all sidecars.
 
+    After an outage no sidecar holds the flows of any caller, and all must say so. Asked one by one
+    that is a message for each flow and sidecar; in a batch it is one for each sidecar.
+
     `due` is the time of the next batch in ms, or None. `asked_flows` holds the time and the flows
     of each query sent, by the number that its answer repeats.
     """
--- a/src/ebonystile/core/carrying/placing.py
+++ b/src/ebonystile/core/carrying/placing.py
@@ -25,7 +25,7 @@
 """Upper bound of the mean number of running requests per open flow."""
 
 SLOW_START_COST_FACTOR = 1.6
-"""Factor on the cost of an upstream in slow start."""
+"""Factor on the cost of an upstream in slow start: how much longer its requests take then."""
 
 COST_TOLERANCE = 0.05
 """Difference of cost up to which upstreams count as equally loaded; rank decides among them.
--- a/src/ebonystile/core/control/pulling.py
+++ b/src/ebonystile/core/control/pulling.py
@@ -7,7 +7,7 @@
 from ebonystile.peer import control
 
 MAX_PEERS_AHEAD = 8
-"""Maximum number of peers recorded as ahead."""
+"""Maximum number of peers recorded as ahead. Any one of them can send what is missing."""
 
 MAX_ALTERNATIVES = 4
 """Other peers named in the refusal of a pull."""
--- a/src/ebonystile/core/control/store.py
+++ b/src/ebonystile/core/control/store.py
@@ -11,7 +11,8 @@
 import typing
 
 MAX_TOMBSTONES = 2_048
-"""Tombstones kept; beyond that, the oldest are dropped."""
+"""Tombstones kept; beyond that, the oldest are dropped. A copy that is behind the dropped ones is
+sent the names of all keys."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonystile/loop.py
+++ b/src/ebonystile/loop.py
@@ -186,7 +186,8 @@
     def drain(self) -> None:
         """Read one batch of datagrams.
 
-        The kernel reports the ICMP error of an earlier send on the next receive; it is ignored.
+        The kernel reports the ICMP error of an earlier send on the next receive; it is ignored, as
+        it shows nothing about this socket.
         """
         receive, on_datagram = self.udp.recvfrom, self.on_datagram
         for received in range(self.batch):
--- a/src/ebonystile/peer/control.py
+++ b/src/ebonystile/peer/control.py
@@ -15,7 +15,7 @@
 from ebonystile.core.control import assembly, configuration, membership, store
 
 MAX_UPDATE_BYTES = 24 << 20
-"""Largest size of an update before compression."""
+"""Largest size of an update before compression, far more than the target size needs."""
 
 MAX_DATAGRAM_UPDATE_BYTES = 1_200
 """Largest update sent as a datagram, which avoids IP fragmentation."""
