--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -67,7 +67,9 @@
         registry.gauge("searches", "Searches under way.", lambda: len(self.core.searches))
         if self.link is not None:
             self.link.add_metrics(registry)
-        registry.gauge("waiting", "Flows that wait for room.", lambda: len(self.core.lines.by_flow))
+        registry.gauge(
+            "waiting", "Flows that wait for room.", lambda: len(self.core.wait_queues.by_flow)
+        )
         registry.tally("refused", "Flows refused admission.", self.core.refused, "reason")
 
     def is_ready(self) -> bool:
--- a/src/ebonystile/core/carrying/admission.py
+++ b/src/ebonystile/core/carrying/admission.py
@@ -25,7 +25,7 @@
 """Least share of the objective for which a flow may wait. Predictions are rough, and a caller that
 is refused retries at once, so that a short lack of room would use up its tries."""
 
-LINE_SHARE = 0.5
+QUEUE_SHARE = 0.5
 """Share of a flow's wait that the flows before it may take by the prediction. Those that come later
 with a higher priority or another caller's turn take the rest."""
 
@@ -132,7 +132,7 @@
     request_bytes: float = 0.0
 
     @property
-    def line_ms(self) -> float:
+    def queue_ms(self) -> float:
         """Return how long the flows ahead take to be admitted, 0 if unknown."""
         if self.admitted_per_s < MIN_KNOWN_RATE_PER_S:
             return 0.0
@@ -153,7 +153,7 @@
     @property
     def finish_ms(self) -> float:
         """Return the predicted time to the answer, with the wait at this balancer."""
-        return self.line_ms + self.admitted_ms
+        return self.queue_ms + self.admitted_ms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -200,7 +200,7 @@
         return Admit()
     until = wait_until(request, room)
     if now < until:
-        is_crowded = is_unopened and room.line_ms > LINE_SHARE * (until - now)
+        is_crowded = is_unopened and room.queue_ms > QUEUE_SHARE * (until - now)
         return Refuse(Reason.CROWDED) if is_crowded else Wait(until)
     return decide_last(request, room, now)
 
--- a/src/ebonystile/core/carrying/admitting.py
+++ b/src/ebonystile/core/carrying/admitting.py
@@ -1,9 +1,9 @@
 """Admit, keep waiting or refuse new flows of routes that state a time limit or an objective.
 
-Flows that wait are kept in a line for each service. All answers about the service's upstreams serve
-the line in its order, whichever flow they were queried for. While a line waits, one of its flows
-queries the sidecars at each step on behalf of all, so that the number of queries depends neither on
-the number of flows that wait nor on their ages.
+Flows that wait are queued for each service. All answers about the service's upstreams serve the
+queue in its order, whichever flow they were queried for. While flows wait, one of them queries the
+sidecars at each step on behalf of all, so that the number of queries depends neither on the number
+of flows that wait nor on their ages.
 """
 
 import dataclasses
@@ -67,64 +67,73 @@
     holder = search.holder()
     if holder is not None:
         return opening.place_flow(state, search, holder, now)
-    line = line_of(state, search)
+    queue = queue_of(state, search)
     if opening.find_candidate(state, search, now) is not None:
-        line.record_report(waiting.Report(search.asked_at, search.ordered_answers()))
-        return serve_line(state, line, search, now)
+        queue.record_report(waiting.Report(search.asked_at, search.ordered_answers()))
+        return serve_queue(state, queue, search, now)
     if is_disconnected(state, search, now):
         return refuse(state, search, admission.Reason.DISCONNECTED, None, now)
     if not search.is_deferred or not search.asked or not search.is_round_over(now):
         return None
-    return None if search.has_next_round else serve_line(state, line, search, now)
+    return None if search.has_next_round else serve_queue(state, queue, search, now)
 
 
-def line_of(state: balancer_state.BalancerState, search: flow_search.Search) -> waiting.Line:
-    """Return the line in which the flow waits or would wait."""
-    return state.lines.by_flow.get(search.flow) or state.lines.by_key[key_of(state, search)]
+def queue_of(state: balancer_state.BalancerState, search: flow_search.Search) -> waiting.WaitQueue:
+    """Return the queue in which the flow waits or would wait."""
+    return (
+        state.wait_queues.by_flow.get(search.flow)
+        or state.wait_queues.by_key[key_of(state, search)]
+    )
 
 
 def key_of(state: balancer_state.BalancerState, search: flow_search.Search) -> waiting.Key:
-    """Return the key of the line in which the flow would wait."""
+    """Return the key of the queue in which the flow would wait."""
     return (search.service, tuple(state.route_table.routes.regions_of(search.flow)))
 
 
-def serve_line(
-    state: balancer_state.BalancerState, line: waiting.Line, search: flow_search.Search, now: int
+def serve_queue(
+    state: balancer_state.BalancerState,
+    queue: waiting.WaitQueue,
+    search: flow_search.Search,
+    now: int,
 ) -> list[effects.Effect]:
-    """Admit the flows of the line for which there is room, then decide about the search's flow."""
+    """Admit the flows of the queue for which there is room, then decide about the search's flow."""
     traits = state.route_table.routes.traits_of(search.flow)
     entry = waiting.Entry(search.flow, traits.priority, search.opened_at, search.asked_at)
-    state.lines.add(key_of(state, search), entry, now + opening.DEFER_STEP_MS)
+    state.wait_queues.add(key_of(state, search), entry, now + opening.DEFER_STEP_MS)
     todo: list[effects.Effect] = []
-    ordered = line.ordered(now)
+    ordered = queue.ordered(now)
     for entry in ordered:
         first = state.searches[entry.flow]
-        verdict, choice = decide_flow(state, line, first, 0, now)
+        verdict, choice = decide_flow(state, queue, first, 0, now)
         if isinstance(verdict, admission.Wait):
             break
-        todo.extend(carry_out(verdict, state, line, first, choice, now))
-    if search.flow not in line.entries or state.searches.get(search.flow) is not search:
+        todo.extend(carry_out(verdict, state, queue, first, choice, now))
+    if search.flow not in queue.entries or state.searches.get(search.flow) is not search:
         return todo
-    ahead = position_of(search.flow, ordered, line)
-    verdict, choice = decide_flow(state, line, search, ahead, now)
-    return [*todo, *carry_out(verdict, state, line, search, choice, now)]
+    ahead = position_of(search.flow, ordered, queue)
+    verdict, choice = decide_flow(state, queue, search, ahead, now)
+    return [*todo, *carry_out(verdict, state, queue, search, choice, now)]
 
 
-def position_of(flow: packet.Flow, ordered: list[waiting.Entry], line: waiting.Line) -> int:
-    """Return how many flows of the line are still before the flow."""
+def position_of(flow: packet.Flow, ordered: list[waiting.Entry], queue: waiting.WaitQueue) -> int:
+    """Return how many flows of the queue are still before the flow."""
     before = 0
     for entry in ordered:
         if entry.flow == flow:
             break
-        before += entry.flow in line.entries
+        before += entry.flow in queue.entries
     return before
 
 
 def choose(
-    state: balancer_state.BalancerState, line: waiting.Line, search: flow_search.Search, now: int
+    state: balancer_state.BalancerState,
+    queue: waiting.WaitQueue,
+    search: flow_search.Search,
+    now: int,
 ) -> Choice | None:
     """Return the best upstream by the latest answers, or None if there are none."""
-    report = report_for(state, line, search, now)
+    report = report_for(state, queue, search, now)
     if report is None:
         return None
     placed = state.count_placements_since(report.asked_at)
@@ -142,7 +151,7 @@
             candidate.load,
             placed[candidate.upstream.address],
             is_overloaded=candidate.is_overloaded,
-            is_on_trial=line.is_on_trial(candidate.upstream.address, now),
+            is_on_trial=queue.is_on_trial(candidate.upstream.address, now),
         )
     ]
     best = placing.pick_best(roomy or candidates)
@@ -151,7 +160,7 @@
 
 def report_for(
     state: balancer_state.BalancerState,
-    line: waiting.Line,
+    queue: waiting.WaitQueue,
     search: flow_search.Search,
     now: int,
 ) -> waiting.Report | None:
@@ -163,9 +172,9 @@
     is_recent = bool(search.answers) and now - search.asked_at <= REPORT_TTL_MS
     if is_recent and not is_unopened(state, search, now):
         return waiting.Report(search.asked_at, search.ordered_answers())
-    if line.report is None or now - line.report.asked_at > REPORT_TTL_MS:
+    if queue.report is None or now - queue.report.asked_at > REPORT_TTL_MS:
         return None
-    return line.report
+    return queue.report
 
 
 def has_room(
@@ -186,14 +195,14 @@
 
 def decide_flow(
     state: balancer_state.BalancerState,
-    line: waiting.Line,
+    queue: waiting.WaitQueue,
     search: flow_search.Search,
     ahead: int,
     now: int,
 ) -> tuple[admission.Verdict, Choice | None]:
     """Return the verdict on a flow with `ahead` others before it, and the best upstream for it."""
-    choice = choose(state, line, search, now)
-    room = room_for(state, line, search, choice, now)
+    choice = choose(state, queue, search, now)
+    room = room_for(state, queue, search, choice, now)
     room = dataclasses.replace(room, ahead=ahead)
     return admission.decide(request_of(state, search), room, now), choice
 
@@ -212,18 +221,18 @@
 
 def room_for(
     state: balancer_state.BalancerState,
-    line: waiting.Line,
+    queue: waiting.WaitQueue,
     search: flow_search.Search,
     choice: Choice | None,
     now: int,
 ) -> admission.Room:
-    """Return the room for the first flow of a line, at the upstream and on this balancer's link."""
+    """Return the room for the first flow of a queue, at the upstream and on the own link."""
     link, size = None, 0.0
     if state.find_link_room is not None:
         link = state.find_link_room(state.route_table.routes.traits_of(search.flow), now)
         size = state.flow_sizes.average(search.flow)
     room = admission.Room(
-        False, admitted_per_s=line.admitted_per_s(now), link=link, request_bytes=size
+        False, admitted_per_s=queue.admitted_per_s(now), link=link, request_bytes=size
     )
     if choice is None:
         return room
@@ -251,17 +260,17 @@
 def carry_out(
     verdict: typing.Any,
     state: balancer_state.BalancerState,
-    line: waiting.Line,
+    queue: waiting.WaitQueue,
     search: flow_search.Search,
     choice: Choice | None,
     now: int,
 ) -> list[effects.Effect]:
-    """Return the effects of a verdict on a flow in the line."""
+    """Return the effects of a verdict on a flow in the queue."""
     raise TypeError(f"expected a verdict, found {type(verdict).__name__}")
 
 
 @carry_out.register
-def _(verdict: admission.Admit, state, line, search, choice, now):
+def _(verdict: admission.Admit, state, queue, search, choice, now):
     if choice is None or choice.candidate.load.full:
         # Its sidecar would return the opening packet at once.
         return end_unserved(state, search, admission.Reason.NO_ROOM, choice, now, reset=False)
@@ -269,14 +278,14 @@
     if needs_status(state, search, chosen.upstream, now):
         return ask_status(state, search, now)
     todo = opening.place_flow(state, search, chosen.upstream, now, chosen)
-    line.record_admission(search.flow, now)
+    queue.record_admission(search.flow, now)
     return todo
 
 
 @carry_out.register
-def _(verdict: admission.Wait, state, line, search, choice, now):
+def _(verdict: admission.Wait, state, queue, search, choice, now):
     state.schedule(search, max(now + 1, verdict.until))
-    line.record_wait(now)
+    queue.record_wait(now)
     if search.is_deferred:
         return []
     search.is_deferred = True
@@ -286,7 +295,7 @@
 
 
 @carry_out.register
-def _(verdict: admission.Refuse, state, line, search, choice, now):
+def _(verdict: admission.Refuse, state, queue, search, choice, now):
     return refuse(state, search, verdict.reason, choice, now)
 
 
@@ -359,12 +368,12 @@
     return [traced, effects.Reset(search.flow, search.packets[-1].acknowledged)]
 
 
-def ask_for_lines(state: balancer_state.BalancerState, now: int) -> list[effects.Effect]:
-    """Return the queries that are due for the flows that wait: for one flow of each line."""
+def query_for_queues(state: balancer_state.BalancerState, now: int) -> list[effects.Effect]:
+    """Return the queries that are due for the flows that wait: for one flow of each queue."""
     todo: list[effects.Effect] = []
-    for line in state.lines.due(now):
-        line.ask_at = now + opening.DEFER_STEP_MS
-        search = state.searches[line.next_asker().flow]
+    for queue in state.wait_queues.due(now):
+        queue.ask_at = now + opening.DEFER_STEP_MS
+        search = state.searches[queue.next_asker().flow]
         if not is_asking(search, now):
             todo.extend(ask_again(state, search, now))
     return todo
@@ -383,7 +392,7 @@
     state: balancer_state.BalancerState, search: flow_search.Search, now: int
 ) -> list[effects.Effect]:
     """Return the queries of a flow that waits to the first round of sidecars."""
-    state.lines.by_flow[search.flow].entries[search.flow].asked_at = now
+    state.wait_queues.by_flow[search.flow].entries[search.flow].asked_at = now
     again = opening.renew_search(state, search, now)
     if again.rounds:
         return state.ask_next_round(again, now)
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -174,7 +174,7 @@
     def on_due(self, now: int) -> list[effects.Effect]:
         """Advance all searches and send all batches that are due."""
         todo = self.ask_unlisted(now)
-        todo.extend(admitting.ask_for_lines(self, now))
+        todo.extend(admitting.query_for_queues(self, now))
         if self.pending:
             todo.extend(self.retry_pending(now))
         if self.ask_batch.due is not None and self.ask_batch.due <= now:
@@ -200,7 +200,7 @@
     def on_tick(self, now: int) -> list[effects.Effect]:
         """Drop expired state; while cut off, query one sidecar to detect when that ends."""
         self.record_tick(now)
-        self.lines.expire(now)
+        self.wait_queues.expire(now)
         self.fleet.expire(now)
         self.unresponsive_until = {
             a: until for a, until in self.unresponsive_until.items() if until > now
--- a/src/ebonystile/core/carrying/balancer_state.py
+++ b/src/ebonystile/core/carrying/balancer_state.py
@@ -105,7 +105,7 @@
         self.probe_batch = batches.ProbeBatch()
         self.fan_out_budget = budget.Budget(FAN_OUT_MESSAGES_PER_S, FAN_OUT_BURST)
         self.link: scheduling.LinkScheduler | None = None
-        self.lines = waiting.Lines()
+        self.wait_queues = waiting.WaitQueues()
         self.refused: collections.Counter[str] = collections.Counter()
         self.find_link_room: LinkRoomFinder | None = None
         self.flow_sizes = flow_sizes.FlowSizes()
@@ -120,7 +120,7 @@
             self.probe_batch.due,
             self.confirmation.ask_at,
             self.pending_until(),
-            self.lines.next_ask_at(),
+            self.wait_queues.next_ask_at(),
         )
         return min((due for due in dues if due is not None), default=None)
 
@@ -216,7 +216,7 @@
     def end_search(self, search: flow_search.Search) -> list[effects.Effect]:
         """End a search; the caller's next packet may begin another one."""
         del self.searches[search.flow]
-        self.lines.remove(search.flow)
+        self.wait_queues.remove(search.flow)
         self.open_flow_searches -= not search.is_opening
         return []
 
--- a/src/ebonystile/core/carrying/waiting.py
+++ b/src/ebonystile/core/carrying/waiting.py
@@ -52,7 +52,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Line:
+class WaitQueue:
     """The flows that wait for the upstreams of one service.
 
     `ask_at` is the time in ms of the next queries on behalf of all of them, `report` the latest
@@ -71,7 +71,7 @@
     unresponsive_at: dict[view.Address, int] = dataclasses.field(default_factory=dict)
 
     def add(self, entry: Entry, ask_at: int) -> None:
-        """Add a flow; the next queries for the line are sent at `ask_at` if it was empty."""
+        """Add a flow; the next queries for the queue are sent at `ask_at` if it was empty."""
         if not self.entries:
             self.ask_at = ask_at
         self.entries[entry.flow] = entry
@@ -147,7 +147,7 @@
         return min(self.entries.values(), key=lambda entry: entry.asked_at)
 
     def expire(self, now: int) -> bool:
-        """Drop decayed rates; return whether the line holds nothing any more."""
+        """Drop decayed rates; return whether the queue holds nothing any more."""
         self.admitted_by_caller = {
             caller: rate
             for caller, rate in self.admitted_by_caller.items()
@@ -162,44 +162,44 @@
 
 
 Key = tuple[str, tuple[str, ...]]
-"""What the flows of a line have in common: their service and the regions of their routes."""
+"""What the flows of a queue have in common: their service and the regions of their routes."""
 
 
-class Lines:
-    """The lines of one balancer, and the line of each flow that waits."""
+class WaitQueues:
+    """The queues of one balancer, and the queue of each flow that waits."""
 
     def __init__(self) -> None:
-        self.by_key: collections.defaultdict[Key, Line] = collections.defaultdict(Line)
-        self.by_flow: dict[packet.Flow, Line] = {}
+        self.by_key: collections.defaultdict[Key, WaitQueue] = collections.defaultdict(WaitQueue)
+        self.by_flow: dict[packet.Flow, WaitQueue] = {}
 
     def next_ask_at(self) -> int | None:
-        """Return the time in ms of the next queries for a line, or None."""
+        """Return the time in ms of the next queries for a queue, or None."""
         if not self.by_flow:
             return None
-        return min(line.ask_at for line in self.by_key.values() if line.entries)
+        return min(queue.ask_at for queue in self.by_key.values() if queue.entries)
 
-    def due(self, now: int) -> list[Line]:
-        """Return the lines whose queries are due."""
+    def due(self, now: int) -> list[WaitQueue]:
+        """Return the queues whose queries are due."""
         if not self.by_flow:
             return []
-        return [line for line in self.by_key.values() if line.entries and line.ask_at <= now]
+        return [queue for queue in self.by_key.values() if queue.entries and queue.ask_at <= now]
 
     def add(self, key: Key, entry: Entry, ask_at: int) -> None:
-        """Add a flow to a line, unless it waits already."""
+        """Add a flow to a queue, unless it waits already."""
         if entry.flow in self.by_flow:
             return
-        line = self.by_flow[entry.flow] = self.by_key[key]
-        line.add(entry, ask_at)
+        queue = self.by_flow[entry.flow] = self.by_key[key]
+        queue.add(entry, ask_at)
 
     def remove(self, flow: packet.Flow) -> None:
         """Remove a flow, if it waits."""
-        line = self.by_flow.pop(flow, None)
-        if line is not None:
-            del line.entries[flow]
+        queue = self.by_flow.pop(flow, None)
+        if queue is not None:
+            del queue.entries[flow]
 
     def expire(self, now: int) -> None:
-        """Drop the lines that hold nothing any more."""
-        for key in [key for key, line in self.by_key.items() if line.expire(now)]:
+        """Drop the queues that hold nothing any more."""
+        for key in [key for key, queue in self.by_key.items() if queue.expire(now)]:
             del self.by_key[key]
 
 
--- a/tests/carrying/test_admission.py
+++ b/tests/carrying/test_admission.py
@@ -157,81 +157,81 @@
     return waiting.Entry(flow, priority, opened_at, opened_at)
 
 
-def make_line(*entries):
-    line = waiting.Line()
+def make_queue(*entries):
+    queue = waiting.WaitQueue()
     for entry in entries:
-        line.add(entry, NOW)
-    return line
+        queue.add(entry, NOW)
+    return queue
 
 
-def test_the_highest_priority_is_first_in_a_line():
+def test_the_highest_priority_is_first_in_a_queue():
     low, high = make_entry("10.0.0.1", 1, opened_at=NOW - 90), make_entry("10.0.0.2", 1, 0)
-    assert make_line(low, high).ordered(NOW) == [high, low]
+    assert make_queue(low, high).ordered(NOW) == [high, low]
 
 
-def test_callers_take_turns_in_a_line():
+def test_callers_take_turns_in_a_queue():
     """A caller with 20 flows would otherwise delay one with a single flow by all of them."""
     many = [make_entry("10.0.0.1", n, opened_at=NOW - 90 + n) for n in range(20)]
     one = make_entry("10.0.0.2", 1)
-    assert make_line(*many, one).ordered(NOW)[:3] == [many[0], one, many[1]]
+    assert make_queue(*many, one).ordered(NOW)[:3] == [many[0], one, many[1]]
 
 
-def test_the_oldest_flow_of_a_caller_is_first_in_a_line():
+def test_the_oldest_flow_of_a_caller_is_first_in_a_queue():
     entries = [make_entry("10.0.0.1", n, opened_at=NOW - n) for n in range(5)]
-    assert make_line(*entries).ordered(NOW) == entries[::-1]
+    assert make_queue(*entries).ordered(NOW) == entries[::-1]
 
 
 def test_a_caller_that_was_admitted_while_others_waited_comes_after_them():
     first, second = make_entry("10.0.0.1", 1, opened_at=NOW - 9), make_entry("10.0.0.2", 1)
-    line = make_line(first, second)
-    line.record_admission(make_entry("10.0.0.1", 7).flow, NOW)
-    assert line.ordered(NOW) == [second, first]
-    assert line.ordered(NOW + 2_000) == [first, second]
+    queue = make_queue(first, second)
+    queue.record_admission(make_entry("10.0.0.1", 7).flow, NOW)
+    assert queue.ordered(NOW) == [second, first]
+    assert queue.ordered(NOW + 2_000) == [first, second]
 
 
 def test_the_rate_of_admissions_is_known_only_after_flows_have_waited():
     """Before, it is the rate of the demand, by which a burst of new flows would be refused."""
-    line = make_line(make_entry("10.0.0.1", 1))
+    queue = make_queue(make_entry("10.0.0.1", 1))
     flow = make_entry("10.0.0.2", 1).flow
-    line.record_admission(flow, NOW - 500)
+    queue.record_admission(flow, NOW - 500)
     for after in range(0, 200, 10):
-        line.record_wait(NOW + after)
-        line.record_admission(flow, NOW + after)
-        assert bool(line.admitted_per_s(NOW + after)) is (after >= waiting.MEASURED_MS)
-    assert 90 <= line.admitted_per_s(NOW + 200) <= 110
-    assert line.admitted_per_s(NOW + 200 + waiting.MEASURED_MS) == 0
-    line.record_wait(NOW + 900)
-    assert line.admitted_per_s(NOW + 900) == 0
+        queue.record_wait(NOW + after)
+        queue.record_admission(flow, NOW + after)
+        assert bool(queue.admitted_per_s(NOW + after)) is (after >= waiting.MEASURED_MS)
+    assert 90 <= queue.admitted_per_s(NOW + 200) <= 110
+    assert queue.admitted_per_s(NOW + 200 + waiting.MEASURED_MS) == 0
+    queue.record_wait(NOW + 900)
+    assert queue.admitted_per_s(NOW + 900) == 0
 
 
-def test_the_callers_of_a_line_are_bounded(monkeypatch):
+def test_the_callers_of_a_queue_are_bounded(monkeypatch):
     monkeypatch.setattr(waiting, "MAX_CALLERS", 3)
-    line = make_line(make_entry("10.0.0.1", 1))
+    queue = make_queue(make_entry("10.0.0.1", 1))
     for number in range(9):
-        line.record_admission(make_entry(f"10.0.1.{number}", 1).flow, NOW)
-    assert len(line.admitted_by_caller) == 3
+        queue.record_admission(make_entry(f"10.0.1.{number}", 1).flow, NOW)
+    assert len(queue.admitted_by_caller) == 3
 
 
-def test_a_line_that_holds_nothing_is_dropped():
-    lines = waiting.Lines()
+def test_a_queue_that_holds_nothing_is_dropped():
+    queues = waiting.WaitQueues()
     entry = make_entry("10.0.0.1", 1)
-    lines.add(("s", ()), entry, NOW + 25)
-    assert lines.next_ask_at() == NOW + 25
-    lines.expire(NOW)
-    assert lines.by_key
-    lines.remove(entry.flow)
-    assert lines.next_ask_at() is None
-    lines.expire(NOW)
-    assert not lines.by_key
+    queues.add(("s", ()), entry, NOW + 25)
+    assert queues.next_ask_at() == NOW + 25
+    queues.expire(NOW)
+    assert queues.by_key
+    queues.remove(entry.flow)
+    assert queues.next_ask_at() is None
+    queues.expire(NOW)
+    assert not queues.by_key
 
 
-def test_a_line_keeps_its_rate_of_admissions_for_a_while():
-    lines = waiting.Lines()
-    lines.by_key["s", ()].record_admission(make_entry("10.0.0.1", 1).flow, NOW)
-    lines.expire(NOW + 100)
-    assert lines.by_key
-    lines.expire(NOW + int(10 * fairness.RATE_WINDOW_MS))
-    assert not lines.by_key
+def test_a_queue_keeps_its_rate_of_admissions_for_a_while():
+    queues = waiting.WaitQueues()
+    queues.by_key["s", ()].record_admission(make_entry("10.0.0.1", 1).flow, NOW)
+    queues.expire(NOW + 100)
+    assert queues.by_key
+    queues.expire(NOW + int(10 * fairness.RATE_WINDOW_MS))
+    assert not queues.by_key
 
 
 def make_packet(sequence, length=0, port=1, **more):
@@ -302,7 +302,7 @@
         assert len(scene.events("held")) == 8
     scene.run(2 * opening.DEFER_STEP_MS + 10)
     assert all(outcome.tries[0].open for outcome in outcomes)
-    assert not scene.balancers[0].core.lines.by_flow
+    assert not scene.balancers[0].core.wait_queues.by_flow
 
 
 def test_waiting_flows_query_for_one_flow_at_each_step(no_room):
@@ -331,10 +331,10 @@
     core = scene.balancers[0].core
     search_flow = scene.request().tries[0].flow
     scene.run(20)
-    search, line = core.searches[search_flow], core.lines.by_flow[search_flow]
-    assert admitting.choose(core, line, search, scene.now) is not None
-    later = line.report.asked_at + admitting.REPORT_TTL_MS + 1
-    assert admitting.choose(core, line, search, later) is None
+    search, queue = core.searches[search_flow], core.wait_queues.by_flow[search_flow]
+    assert admitting.choose(core, queue, search, scene.now) is not None
+    later = queue.report.asked_at + admitting.REPORT_TTL_MS + 1
+    assert admitting.choose(core, queue, search, later) is None
 
 
 def test_an_upstream_that_is_unresponsive_gets_one_waiting_flow_as_a_trial():
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -1073,7 +1073,7 @@
     Mutation(
         "a flow is refused at once if those before it take all the room",
         CORE + "carrying/admission.py",
-        "is_crowded = is_unopened and room.line_ms > LINE_SHARE * (until - now)",
+        "is_crowded = is_unopened and room.queue_ms > QUEUE_SHARE * (until - now)",
         "is_crowded = False",
     ),
     Mutation(
@@ -1095,10 +1095,10 @@
         "turns[entry.caller] = turn",
     ),
     Mutation(
-        "one flow of a line queries for all",
+        "one flow of a queue queries for all",
         CORE + "carrying/admitting.py",
-        "        line.ask_at = now + opening.DEFER_STEP_MS\n",
-        "        line.ask_at = now + 1\n",
+        "        queue.ask_at = now + opening.DEFER_STEP_MS\n",
+        "        queue.ask_at = now + 1\n",
     ),
     Mutation(
         "one answer admits no more flows than the queues hold",
