Load test of the narrow link: allow for the stand-ins' own turns

Traced with 24 busy processes beside the test, three runs: 45, 47 and 23 ms added, the median of all small requests rose from 14 to 43 ms, the longest turn of the stand-ins was 17, 17 and 15 ms, and by the balancer's metrics no small request waited for the link at all. So what is added is the lateness of the test's own processes, which have callers, link and upstreams in one thread each. Change: the bound of 50 ms allows for three turns of the stand-ins, as long as they were during the load, and a new check by the balancer's metrics bounds the wait of small requests for the link at 50 ms. Conclusion: on a quiet machine, where a turn is a few ms, the check is as strict as before.

--- a/tests/carrier/test_narrow_link.py
+++ b/tests/carrier/test_narrow_link.py
@@ -16,6 +16,11 @@
 REQUEST_INTERVAL_S = 0.02
 REQUEST = b"q" * 900
 MAX_ADDED_MS = 50
+STAND_IN_TURNS = 3
+"""How often a small request passes the stand-ins (its opening, its data, its answer). Each time it
+may wait for a turn of theirs, which is long on a machine that is short of processor time."""
+
+SMALL_REQUESTS_WAITED = 'ebonystile_link_wait_seconds{level="interactive-1",quantile="0.99"}'
 FOLLOW_S = 15
 """Time limit for the rate in force to follow, in s; it takes a few, more on a busy machine."""
 
@@ -75,6 +80,7 @@
 def added_ms(running):
     """Return how much later 99% of small requests are answered beside uploads, and the load."""
     alone = Load(running, OFFERED_S, uploads=False).wait().request_times()
+    running.longest_turn_ms = 0
     loaded = Load(running, OFFERED_S, uploads=True).wait()
     times = loaded.request_times()
     at = len(times) * 99 // 100 - 1
@@ -84,8 +90,10 @@
 def test_uploads_at_twice_the_rate_delay_no_small_request_and_all_complete(running):
     """Without the scheduling the link drops small requests, and uploads repeat what is lost."""
     added, load = added_ms(running)
-    assert added <= MAX_ADDED_MS
+    assert added <= MAX_ADDED_MS + STAND_IN_TURNS * running.longest_turn_ms
     assert not load.late_uploads()
+    waited = running.metrics(running.balancer).get(SMALL_REQUESTS_WAITED, 0)
+    assert waited <= MAX_ADDED_MS / 1_000
     events = [line.partition("event=")[2] for line in running.lines(running.balancer)]
     begun = [event for event in events if event.startswith("link_busy ")]
     assert begun and "backlog_ms=" in begun[0]
