--- a/src/ebonystile/operator/links.py
+++ b/src/ebonystile/operator/links.py
@@ -119,11 +119,11 @@
         for period in backlogs(lines):
             if period.overlaps(since, until):
                 shown += period.lines
-        shown += telling_rates([p for p in narrowings(lines) if p.overlaps(since, until)])
+        shown += first_and_lowest_rates([p for p in narrowings(lines) if p.overlaps(since, until)])
     return sorted(shown, key=carried.line_time)
 
 
-def telling_rates(lowered: list[Period]) -> list[carried.Line]:
+def first_and_lowest_rates(lowered: list[Period]) -> list[carried.Line]:
     """Return the lines of the first and the lowest rate; the steps between them say no more."""
     if not lowered:
         return []
