Admission is a setting of its own, off in the template

After a loss of power all callers come back at the same time; those that are refused at once use up their tries within milliseconds, while placing them after a short wait served them. Change: admission takes effect only where the settings say so; without it a flow is placed as before.

--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -34,6 +34,7 @@
             self.feed.sources.seeds,
             is_seed=settings.is_seed,
         )
+        self.core.is_admission_enabled = settings.admission
         self.core.route_table = self.feed.route_table
         self.core.fleet = self.feed.fleet
         address = entries.address_of(settings.packets)
--- a/src/ebonystile/core/carrying/admitting.py
+++ b/src/ebonystile/core/carrying/admitting.py
@@ -58,11 +58,17 @@
         return predicting.predicted_finish_ms(self.candidate.load, self.usual_ms) - self.wait_ms
 
 
+def is_subject(state: balancer_state.BalancerState, flow: packet.Flow) -> bool:
+    """Return whether new flows of this flow's route are subject to admission."""
+    traits = state.route_table.routes.traits_of(flow)
+    return state.is_admission_enabled and admission.is_stated(traits)
+
+
 def decide_placement(
     state: balancer_state.BalancerState, search: flow_search.Search, now: int
 ) -> list[effects.Effect] | None:
     """Return the effects that place, defer or refuse a new flow, or None to wait for answers."""
-    if not admission.is_stated(state.route_table.routes.traits_of(search.flow)):
+    if not is_subject(state, search.flow):
         return opening.decide_placement(state, search, now)
     holder = search.holder()
     if holder is not None:
@@ -422,7 +428,7 @@
     refusal_at = search.started_at + admission.DISCONNECTED_REFUSAL_MS
     if not search.is_opening or now >= refusal_at:
         return until
-    if not admission.is_stated(state.route_table.routes.traits_of(search.flow)):
+    if not is_subject(state, search.flow):
         return until
     return min(until, refusal_at)
 
@@ -439,7 +445,7 @@
     has sent no copy to another balancer yet.
     """
     traits = state.route_table.routes.traits_of(received.flow)
-    if not received.opens or not admission.is_stated(traits):
+    if not received.opens or not is_subject(state, received.flow):
         return []
     opened_at = admission.opened_at(received.copy_number, now)
     was_forwarded = home is not None or not state.is_timely(now)
--- a/src/ebonystile/core/carrying/balancer_state.py
+++ b/src/ebonystile/core/carrying/balancer_state.py
@@ -105,6 +105,7 @@
         self.probe_batch = batches.ProbeBatch()
         self.fan_out_budget = budget.Budget(FAN_OUT_MESSAGES_PER_S, FAN_OUT_BURST)
         self.link: scheduling.LinkScheduler | None = None
+        self.is_admission_enabled = False
         self.wait_queues = waiting.WaitQueues()
         self.refused: collections.Counter[str] = collections.Counter()
         self.find_link_room: LinkRoomFinder | None = None
--- a/src/ebonystile/platform/node.py
+++ b/src/ebonystile/platform/node.py
@@ -34,6 +34,8 @@
     "upstream": "sidecars: where the upstream takes packets",
     "service": "sidecars: the upstream's service",
     "link_mbps": "rate of this instance's own link in each direction, in Mbit/s; 0 if not known",
+    "admission": "balancers: whether new flows wait or are refused by the objective and the time "
+    "limit of their route while there is too little room",
     "metrics": "where counters and latencies are served, nowhere if left out",
 }
 """Meaning of each field of the settings."""
@@ -52,6 +54,7 @@
     "upstream": "ip:port",
     "service": "name",
     "link_mbps": "number from 0",
+    "admission": "true or false",
     "metrics": "ip:port",
 }
 """Format of each field."""
@@ -76,6 +79,7 @@
     upstream: str = ""
     service: str = ""
     link_mbps: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    admission: bool = False
     metrics: str = ""
 
     @property
--- a/tests/carrying/retrying.py
+++ b/tests/carrying/retrying.py
@@ -48,6 +48,8 @@
     def __init__(self, traits=STATED, **sizes):
         super().__init__(**sizes)
         self.traits = traits
+        for node in self.balancers:
+            node.core.is_admission_enabled = True
         self.state_traits(2)
         for node in self.sidecars:
             node.upstream.room = 1_000_000
