--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -1035,6 +1035,8 @@
         "src/ebonystile/carrier/link.py",
         "aborts=True, is_to_caller=True",
         "is_to_caller=False",
+    ),
+    Mutation(
         "a refusal resets only a flow of which all copies arrived here",
         CORE + "carrying/admission.py",
         "return not self.was_forwarded and sent <= self.copies",
