Repeated searches and bugs are logged with what explains them

It can't tell which of the two callers of retry_search made the search without rounds, or whether its rounds were used up while it waited in the batch.

Change: retry_search logs search_repeated with its reason, attempt and the number of upstreams to ask; bug has the function and line of the error and the sizes of the core's state; gauge pending.

--- a/src/ebonystile/carrier/balancer.py
+++ b/src/ebonystile/carrier/balancer.py
@@ -63,10 +63,23 @@
             self.report,
         )
 
+    def describe_core(self) -> dict[str, int]:
+        """Return the sizes of the core's state, to explain a bug by its last log line."""
+        return {
+            **super().describe_core(),
+            "searches": len(self.core.searches),
+            "searches_of_open_flows": self.core.open_flow_searches,
+            "pending": len(self.core.pending),
+            "queued": len(self.core.queued),
+        }
+
     def add_metrics(self, registry: "metrics.Metrics") -> None:
         """Register the metrics of a balancer."""
         registry.gauge("homes", "Flows whose home is known.", lambda: len(self.core.homes))
         registry.gauge("searches", "Searches under way.", lambda: len(self.core.searches))
+        registry.gauge(
+            "pending", "Flows that wait for a confirmed view.", lambda: len(self.core.pending)
+        )
         if self.link is not None:
             self.link.add_metrics(registry)
         registry.gauge(
--- a/src/ebonystile/carrier/shell.py
+++ b/src/ebonystile/carrier/shell.py
@@ -69,10 +69,17 @@
             self.loop.run()
         except Exception as error:
             # Without its loop the process would stay alive and serve nothing.
-            self.log.event("bug", error=repr(error))
+            self.log.event("bug", error=repr(error), at=origin_of(error), **self.describe_core())
             raise
         self.log.event("stop", **self.counts, **self.feed.counts)
 
+    def describe_core(self) -> dict[str, int]:
+        """Return the sizes of the core's state, to explain a bug by its last log line."""
+        return {
+            "listed": len(self.feed.fleet.by_address),
+            "unlisted": len(self.feed.fleet.unlisted_until),
+        }
+
     def add_metrics(self, registry: "metrics.Metrics") -> None:
         """Register the metrics of this program."""
         raise NotImplementedError
@@ -179,6 +186,14 @@
         self.log.event("signal_again", signal=name)
 
 
+def origin_of(error: Exception) -> str:
+    """Return the function and line in which an error was raised."""
+    raised = error.__traceback__
+    while raised.tb_next is not None:
+        raised = raised.tb_next
+    return f"{raised.tb_frame.f_code.co_qualname}:{raised.tb_lineno}"
+
+
 def settings_stamp() -> tuple[int, int]:
     """Return the settings file's modification time (ns) and size, zeros if it can't be read."""
     try:
--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -169,7 +169,8 @@
             flow = next(iter(self.pending))
             received = self.pending.pop(flow)
             if flow not in self.searches and flow not in self.homes:
-                todo.extend(finding.retry_search(self, [received], now, now))
+                reason = finding.RetryReason.VIEW_CONFIRMED
+                todo.extend(finding.retry_search(self, [received], now, now, reason))
         return todo
 
     def refuse_without_upstream(self, received: packet.Packet) -> list[effects.Effect]:
@@ -299,7 +300,10 @@
             has_ended = not_found and finding.is_confirmed_gone(self, search, now)
             if not (has_ended or missing or last.aborts) and search.attempt < finding.MAX_ATTEMPTS:
                 due = now + finding.RETRY_SEARCH_MS
-                return finding.retry_search(self, search.packets, now, due, search.attempt + 1)
+                reason = finding.RetryReason.UNCERTAIN
+                return finding.retry_search(
+                    self, search.packets, now, due, reason, search.attempt + 1
+                )
         traced = search.trace_end(now, reset=has_ended)
         if not has_ended or last.aborts:
             return [traced]
--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -4,6 +4,7 @@
 therefore batched over many flows and rate limited.
 """
 
+import enum
 import functools
 
 from ebonystile.core.carrying import (
@@ -44,6 +45,17 @@
 Waiting for the caller's next copy instead takes up to 1.6 s more."""
 
 
+class RetryReason(enum.StrEnum):
+    """Why an open flow is searched for again.
+
+    VIEW_CONFIRMED: it was not found before the view was confirmed. UNCERTAIN: it was not found, and
+    may still be open.
+    """
+
+    VIEW_CONFIRMED = "view_confirmed"
+    UNCERTAIN = "uncertain"
+
+
 def make_location_search(
     state: balancer_state.BalancerState, received: packet.Packet, now: int
 ) -> flow_search.Search:
@@ -151,6 +163,7 @@
     packets: list[packet.Packet],
     now: int,
     due: int,
+    reason: RetryReason,
     attempt: int = 2,
 ) -> list[effects.Effect]:
     """Schedule a search of all sidecars at the time `due` in ms; `attempt` is its number."""
@@ -163,4 +176,12 @@
     state.searches[again.flow] = again
     state.open_flow_searches += 1
     state.schedule(again, due)
-    return []
+    return [
+        effects.trace(
+            "search_repeated",
+            flow=packet.flow_text(again.flow),
+            reason=reason.value,
+            attempt=attempt,
+            upstreams=len(all_upstreams),
+        )
+    ]
--- a/src/ebonystile/operator/carried.py
+++ b/src/ebonystile/operator/carried.py
@@ -25,6 +25,8 @@
     "found": "A balancer without a record of it found it at {upstream} after {searched_ms} ms.",
     "probed": "No sidecar that answered held it; {upstreams} upstreams of recently started "
     "sidecars were probed, {unanswered} sidecars did not answer.",
+    "search_repeated": "It is searched for again at {upstreams} upstreams, search {attempt}: "
+    "{reason}.",
     "not_found": "It was not found: {answered} of {asked} sidecars answered within "
     "{searched_ms} ms (reset sent: {reset}).",
     "flow_reset": "A reset was sent to its caller: {reason}.",
--- a/tests/carrier/test_shell.py
+++ b/tests/carrier/test_shell.py
@@ -1,7 +1,9 @@
-"""The reload of settings by a running daemon."""
+"""The reload of settings by a running daemon, and the log of its end by a bug."""
 
 import types
 
+import pytest
+
 from ebonystile.carrier import shell
 from ebonystile.core.carrying import fleet
 from ebonystile.platform import node
@@ -21,3 +23,24 @@
     )
     shell.Shell.reload(daemon)
     assert members.is_in_regions("b", ("south",)) and not members.is_in_regions("a", ("south",))
+
+
+def test_a_bug_is_logged_with_its_place_and_the_state_of_the_core():
+    """Without them the log of a process that ends again and again doesn't show why."""
+    lines = []
+
+    def fail():
+        raise IndexError("pop from empty list")
+
+    daemon = types.SimpleNamespace(
+        settings=types.SimpleNamespace(zone="a", packets="10.0.0.1:1"),
+        feed=types.SimpleNamespace(make_next_call=lambda: None),
+        loop=types.SimpleNamespace(run=fail),
+        log=types.SimpleNamespace(event=lambda event, **fields: lines.append((event, fields))),
+        describe_core=lambda: {"listed": 0},
+    )
+    with pytest.raises(IndexError):
+        shell.Shell.run(daemon)
+    event, fields = lines[-1]
+    assert event == "bug" and fields["listed"] == 0
+    assert fields["at"].partition(":")[0].endswith("fail")
