A search with no upstream to ask ends in place of its balancer

Cause: Search.has_next_round was true as soon as a function for later rounds was set, also if it had no upstream to make a round of. retry_search set it over an empty list, the search went into the batch of queries, and next_round popped from no rounds. Two callers: packets that waited for the view to be confirmed, and the repetition of a search with an uncertain result.

Change: later rounds are planned in one place, with the number of upstreams they are made of; none without upstreams.

--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -77,10 +77,10 @@
         search.rounds = [first]
     others = [u for u in state.fleet.by_address.values() if u.service not in services]
     others += unlisted_upstreams(state, now)
-    if others or len(likely) > len(first):
-        search.make_later_rounds = functools.partial(
-            flow_search.split_into_rounds, likely[len(first) :], others
-        )
+    rest = likely[len(first) :]
+    search.plan_later_rounds(
+        len(rest) + len(others), functools.partial(flow_search.split_into_rounds, rest, others)
+    )
     return search
 
 
@@ -171,7 +171,9 @@
     again.packets = packets
     again.rounds = []
     all_upstreams = [*state.fleet.by_address.values(), *unlisted_upstreams(state, now)]
-    again.make_later_rounds = functools.partial(flow_search.split_into_rounds, all_upstreams, ())
+    again.plan_later_rounds(
+        len(all_upstreams), functools.partial(flow_search.split_into_rounds, all_upstreams, ())
+    )
     again.attempt = attempt
     state.searches[again.flow] = again
     state.open_flow_searches += 1
--- a/src/ebonystile/core/carrying/flow_search.py
+++ b/src/ebonystile/core/carrying/flow_search.py
@@ -48,7 +48,8 @@
 
     `service` is that of a flow to be opened, empty for one that is already open. `due` is the time
     of the next step, `deadline` that of the end, `asked_at` that of the last round or probe.
-    `make_later_rounds` computes the rounds that follow `rounds`, when they are needed. `probed`
+    `make_later_rounds` computes the rounds that follow `rounds`, at least one, when they are
+    needed; it is set by `plan_later_rounds`. `probed`
     holds the addresses that were sent a probe, `excluded` those that answered a probe with ABSENT
     or returned a packet. `revision` is the newest revision of the store in the answers. `attempt`
     counts the consecutive searches for an open flow, including this one. `is_deferred` is set while
@@ -99,6 +100,16 @@
         if len(self.packets) < MAX_HELD_PACKETS:
             self.packets.append(received)
 
+    def plan_later_rounds(
+        self, upstream_count: int, make: typing.Callable[[], list[list[fleet.Upstream]]]
+    ) -> None:
+        """Set how the rounds that follow `rounds` are computed, from `upstream_count` upstreams.
+
+        A search that expects a round which turns out to ask nobody would end the process. So
+        without upstreams there is no later round, and the search ends by the answers it has.
+        """
+        self.make_later_rounds = make if upstream_count else None
+
     @property
     def has_next_round(self) -> bool:
         """Return whether there is a round left to ask."""
--- a/src/ebonystile/core/carrying/opening.py
+++ b/src/ebonystile/core/carrying/opening.py
@@ -48,15 +48,15 @@
             make_later_rounds = functools.partial(list, later)
     else:
         rounds = placing.later_rounds(flow, local, remote)
-        make_later_rounds = None
     search = flow_search.Search(flow, service, [received], rounds, started_at=now, due=now)
     search.opened_at = admission.opened_at(received.copy_number, now)
     search.route = state.route_table.routes.find(received.flow)
     search.version = state.route_table.routes.version
     if len(state.searches) >= MAX_FULL_SEARCHES:
         search.rounds = rounds[:1]
-    elif len(local) + len(remote) > sum(map(len, rounds)):
-        search.make_later_rounds = make_later_rounds
+    elif local:
+        upstream_count = len(local) + len(remote) - sum(map(len, rounds))
+        search.plan_later_rounds(upstream_count, make_later_rounds)
     return search
 
 
--- a/tests/carrier/test_processes.py
+++ b/tests/carrier/test_processes.py
@@ -64,6 +64,29 @@
     running.wait(lambda: running.is_ready(balancer), 10)
 
 
+def test_a_balancer_that_starts_without_any_upstream_stays_up(running):
+    """It must reset the open flows that have ended, not end with each of their packets."""
+    balancer = running.balancers[0]
+    callers = [running.caller(balancer) for _ in range(24)]
+    for caller in callers:
+        running.answered(caller)
+    for sidecar in running.sidecars:
+        running.kill(sidecar)
+        sidecar.upstream.alive = False
+        running.store.put(f"servers/{sidecar.name}", None)
+    running.kill(balancer)
+    running.start(balancer)
+    for caller in callers:
+        running.ask(caller, b"again")
+    running.wait(lambda: all(caller.resets for caller in callers), 8)
+    for sidecar in running.sidecars:
+        sidecar.upstream.restart()
+        running.publish(sidecar, born=2)
+        running.start(sidecar)
+    running.answered(running.caller(balancer))
+    assert balancer.process.poll() is None
+
+
 def test_metrics_count_flows_and_store_reads(running):
     """Both daemons on a flow's path must count its opening and its answer."""
     caller = running.caller(running.balancers[0])
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -19,6 +19,7 @@
 )
 CARRYING_TESTS = (
     "tests/carrying/test_paths.py",
+    "tests/carrying/test_no_upstream.py",
     "tests/carrying/test_loss.py",
     "tests/carrying/test_table.py",
     "tests/carrying/test_reading.py",
@@ -484,6 +485,12 @@
         "if not search.has_next_round and (received.opens or self.is_view_confirmed(now)):",
         "if not search.has_next_round:",
     ),
+    Mutation(
+        "a search without upstreams has no later round",
+        CORE + "carrying/flow_search.py",
+        "self.make_later_rounds = make if upstream_count else None",
+        "self.make_later_rounds = make",
+    ),
     Mutation(
         "own placements count towards the load",
         CORE + "carrying/balancer_state.py",
