A search that ends leaves the batches at once

What callers saw: packets of an open flow got neither answer nor reset until the balancer ended or the flow's caller gave up, as each was added to a search that nothing would advance any more.

Cause: a search that ended by a late answer stayed in the batch of queries until that was sent. A search for the same flow that began meanwhile with the batch (no listed upstream of its services, or many searches) counted as waiting there, so it was neither added nor scheduled; the batch then left out the former one. Nothing ended the new one.

Evidence: found by random steps into the balancer's core (long run, 2,000 examples of 400 steps): "a search that has ended waits in a batch".

Change: end_search takes the search out of both batches; that they hold running searches only is kept there, and the checks where a batch is taken are gone.

Test: tests/carrying/test_no_upstream.py, a home that answers late, loses its entry and the flow. It failed before: no reset in 5 s, the search still there. A mutant is added.

--- a/src/ebonystile/core/carrying/asking.py
+++ b/src/ebonystile/core/carrying/asking.py
@@ -26,8 +26,6 @@
     state: balancer_state.BalancerState, search: flow_search.Search
 ) -> list[effects.Effect]:
     """End a search that waited too long for the budget; its caller retransmits."""
-    state.ask_batch.waiting.pop(search.flow, None)
-    state.probe_batch.waiting.pop(search.flow, None)
     return state.end_search(search)
 
 
@@ -38,7 +36,7 @@
         state.ask_batch.due = max(now + 1, state.fan_out_budget.ready_at(message_count, now))
         return []
     questions: dict[view.Address, list[tuple[packet.Flow, int]]] = {}
-    for search in state.ask_batch.take(state.searches, now):
+    for search in state.ask_batch.take(now):
         acknowledged = search.packets[0].acknowledged
         for upstream in search.next_round(now):
             questions.setdefault(upstream.address, []).append((search.flow, acknowledged))
--- a/src/ebonystile/core/carrying/balancer_state.py
+++ b/src/ebonystile/core/carrying/balancer_state.py
@@ -213,8 +213,14 @@
         return [upstream for upstream in search.unanswered() if self.fleet.is_listed(upstream)]
 
     def end_search(self, search: flow_search.Search) -> list[effects.Effect]:
-        """End a search; the caller's next packet may begin another one."""
+        """End a search; the caller's next packet may begin another one.
+
+        A batch holds running searches only. A later search for the same flow would count as waiting
+        in the batch in place of the one that has ended, and never be sent.
+        """
         del self.searches[search.flow]
+        self.ask_batch.discard(search)
+        self.probe_batch.discard(search)
         self.wait_queues.remove(search.flow)
         self.open_flow_searches -= not search.is_opening
         return []
--- a/src/ebonystile/core/carrying/batches.py
+++ b/src/ebonystile/core/carrying/batches.py
@@ -45,14 +45,18 @@
         if self.due is None:
             self.due = now + BATCH_DELAY_MS
 
-    def take(
-        self, searches: dict[packet.Flow, flow_search.Search], now: int
-    ) -> list[flow_search.Search]:
-        """Remove the next batch and return its searches that are still running."""
+    def discard(self, search: flow_search.Search) -> None:
+        """Remove a search that ends, if it waits."""
+        self.waiting.pop(search.flow, None)
+        if not self.waiting:
+            self.due = None
+
+    def take(self, now: int) -> list[flow_search.Search]:
+        """Remove the searches of the next batch and return them."""
         flows = list(self.waiting)[:MAX_BATCH_FLOWS]
         taken = [self.waiting.pop(flow) for flow in flows]
         self.due = now + BATCH_DELAY_MS if self.waiting else None
-        return [search for search in taken if searches.get(search.flow) is search]
+        return taken
 
     def register_flows(self, flows: tuple[packet.Flow, ...], now: int) -> int:
         """Record a query about these flows and return its number."""
@@ -91,6 +95,12 @@
         if self.due is None:
             self.due = now + BATCH_DELAY_MS
 
+    def discard(self, search: flow_search.Search) -> None:
+        """Remove a search that ends, if it waits."""
+        self.waiting.pop(search.flow, None)
+        if not self.waiting:
+            self.due = None
+
     def next_flows(self) -> tuple[list[packet.Flow], int]:
         """Return the flows of the next batch and the number of messages it takes.
 
@@ -114,12 +124,12 @@
         return flows, message_count
 
     def take(
-        self, flows: list[packet.Flow], searches: dict[packet.Flow, flow_search.Search], now: int
+        self, flows: list[packet.Flow], now: int
     ) -> list[tuple[flow_search.Search, list[fleet.Upstream]]]:
-        """Remove these flows; return the searches still running, with the upstreams to probe."""
+        """Remove these flows; return their searches, with the upstreams to probe."""
         taken = [self.waiting.pop(flow) for flow in flows]
         self.due = now + BATCH_DELAY_MS if self.waiting else None
-        return [(search, to) for search, to in taken if searches.get(search.flow) is search]
+        return taken
 
 
 def group_into_datagrams(raws: typing.Iterable[bytes]) -> list[tuple[bytes, ...]]:
--- a/src/ebonystile/core/carrying/probing.py
+++ b/src/ebonystile/core/carrying/probing.py
@@ -96,7 +96,7 @@
         return []
     todo: list[effects.Effect] = []
     raws: dict[view.Address, list[bytes]] = {}
-    for search, upstreams in state.probe_batch.take(flows, state.searches, now):
+    for search, upstreams in state.probe_batch.take(flows, now):
         todo.append(record_probes(state, search, upstreams, now))
         for upstream in upstreams:
             raws.setdefault(upstream.address, []).append(search.packets[0].raw)
--- a/tests/carrying/test_no_upstream.py
+++ b/tests/carrying/test_no_upstream.py
@@ -1,6 +1,14 @@
 """Open and new flows while no upstream is listed, or only ones that have lost their entries."""
 
-from ebonystile.core.carrying import balancer, balancer_state, finding, packet
+from ebonystile.core.carrying import (
+    balancer,
+    balancer_state,
+    finding,
+    flow_search,
+    messages,
+    packet,
+)
+from ebonystile.platform import packets
 from tests.carrying import world
 
 CONFIRMED_MS = balancer_state.MIN_VIEW_AGE_MS + 100
@@ -57,3 +65,36 @@
     assert (packet.flow_text(callers[1].flow), 0) in attempts
     assert [caller.resets for caller in callers] == [1, 1]
     assert not other.core.searches and other.core.open_flow_searches == 0
+
+
+def test_a_search_that_begins_while_a_former_one_waits_in_the_batch_ends():
+    """The home answers late, then loses its entry and the flow, and further packets get nothing."""
+    scene = world.World(zones=("a",), upstreams=2, balancers=2)
+    caller = scene.open()
+    home = scene.home_of(caller)
+    lost = next(node for node in scene.sidecars if node is not home)
+    lost.alive = False
+    del scene.entries[lost.address]
+    other = scene.balancers[1]
+    scene.publish_entries([other])
+    caller.through = other
+    home.frozen_until = scene.now + 10_000
+    scene.ask(caller)
+    scene.run(flow_search.ROUND_MS + 2)
+    held = messages.Answer(caller.flow, 1, messages.FlowStatus.HELD, messages.Load())
+    scene.apply_effects(other, other.core.on_message(held, None, home.address, scene.now))
+    scene.entries.clear()
+    scene.publish_entries([other])
+    raw = carried_packets(scene, caller)[-1]
+    returned = messages.Return(messages.Reason.ABSENT, 1, raw)
+    received = packets.from_caller(raw)
+    scene.apply_effects(other, other.core.on_message(returned, received, home.address, scene.now))
+    assert caller.flow in other.core.searches
+    scene.run(5_000)
+    assert caller.resets == 1 and not other.core.searches
+
+
+def carried_packets(scene, caller):
+    """Return the packets of a caller's flow that balancers have sent to its home."""
+    sent = [message for _, _, message in scene.sent if isinstance(message, messages.Carry)]
+    return [message.raw for message in sent if packets.from_caller(message.raw).flow == caller.flow]
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -491,6 +491,12 @@
         "self.make_later_rounds = make if upstream_count else None",
         "self.make_later_rounds = make",
     ),
+    Mutation(
+        "a search that has ended leaves the batch",
+        CORE + "carrying/balancer_state.py",
+        "self.ask_batch.discard(search)",
+        "pass",
+    ),
     Mutation(
         "own placements count towards the load",
         CORE + "carrying/balancer_state.py",
