A search that is given up leaves a log event

What callers saw: a packet of an open flow that got no answer, as its balancer had been paused for a second or its budget of messages was used up; no log line said so.

Cause: abandon_search and wait_for_fan_out_budget ended the search with no effect at all.

Change: both end it in one place, with the event not_found, reset=false, reason=waited_too_long. The packet is still dropped: its caller sends it again.

Test: test_a_search_given_up_after_a_pause_is_logged failed before, there was no such event.

--- a/src/ebonystile/core/carrying/asking.py
+++ b/src/ebonystile/core/carrying/asking.py
@@ -15,7 +15,7 @@
 ) -> list[effects.Effect]:
     """Add the search to the batch of queries, or end it if it has waited too long."""
     if now >= search.started_at + MAX_BATCH_WAIT_MS:
-        return abandon_search(state, search)
+        return abandon_search(state, search, now)
     if search.flow not in state.ask_batch.waiting:
         state.ask_batch.add(search, now)
         state.schedule(search, search.started_at + MAX_BATCH_WAIT_MS)
@@ -23,10 +23,11 @@
 
 
 def abandon_search(
-    state: balancer_state.BalancerState, search: flow_search.Search
+    state: balancer_state.BalancerState, search: flow_search.Search, now: int
 ) -> list[effects.Effect]:
-    """End a search that waited too long for the budget; its caller retransmits."""
-    return state.end_search(search)
+    """End a search that waited too long for the budget or in a pause; its caller retransmits."""
+    state.end_search(search)
+    return [search.trace_end(now, reset=False, reason="waited_too_long")]
 
 
 def send_ask_batch(state: balancer_state.BalancerState, now: int) -> list[effects.Effect]:
@@ -61,6 +62,6 @@
     """Schedule the search for when the budget allows the messages, or end it if too late."""
     due = max(now + 1, state.fan_out_budget.ready_at(message_count, now))
     if due > search.started_at + MAX_BATCH_WAIT_MS:
-        return state.end_search(search)
+        return abandon_search(state, search, now)
     state.schedule(search, due)
     return []
--- a/src/ebonystile/core/carrying/probing.py
+++ b/src/ebonystile/core/carrying/probing.py
@@ -81,7 +81,7 @@
 ) -> list[effects.Effect]:
     """Add the search to the batch of probes, or end it if it has waited too long."""
     if now >= search.started_at + asking.MAX_BATCH_WAIT_MS:
-        return asking.abandon_search(state, search)
+        return asking.abandon_search(state, search, now)
     if search.flow not in state.probe_batch.waiting:
         state.probe_batch.add(search, upstreams, now)
         state.schedule(search, search.started_at + asking.MAX_BATCH_WAIT_MS)
--- a/tests/carrying/test_no_upstream.py
+++ b/tests/carrying/test_no_upstream.py
@@ -1,6 +1,7 @@
 """Open and new flows while no upstream is listed, or only ones that have lost their entries."""
 
 from ebonystile.core.carrying import (
+    asking,
     balancer,
     balancer_state,
     finding,
@@ -98,3 +99,17 @@
     """Return the packets of a caller's flow that balancers have sent to its home."""
     sent = [message for _, _, message in scene.sent if isinstance(message, messages.Carry)]
     return [message.raw for message in sent if packets.from_caller(message.raw).flow == caller.flow]
+
+
+def test_a_search_given_up_after_a_pause_is_logged():
+    """Its packet is dropped, and without an event nothing shows why the caller got no answer."""
+    scene = world.World(zones=("a",), upstreams=flow_search.FIRST_ROUND_SIZE + 1, balancers=2)
+    caller = scene.open()
+    caller.through = scene.balancers[1]
+    scene.home_of(caller).alive = False
+    scene.ask(caller)
+    scene.run(10)
+    caller.through.frozen_until = scene.now + asking.MAX_BATCH_WAIT_MS + 10
+    scene.run(asking.MAX_BATCH_WAIT_MS + 10 + world.TICK_MS)
+    reasons = [fields.get("reason") for _, event, fields in scene.traces if event == "not_found"]
+    assert reasons == ["waited_too_long"]
