A packet that waits for the view goes to its home when that is listed again

What callers saw: a request on an open flow got its answer only after the caller's next copy, up to 1.6 s later, though the flow's upstream was back in the list.

Cause: retry_pending dropped a packet whose flow had a home or a search. The home is kept while its upstream has no entry, as when the store was away, so the packet was lost just when it could go.

Change: such a packet is handled as one that arrives now: it goes home, joins the search, or begins one with the former home first.

Test: test_a_packet_that_waits_for_the_view_goes_to_its_home_when_that_is_listed_again failed before (no answer 250 ms after the entry was back). A mutant is added.

--- a/src/ebonystile/core/carrying/balancer.py
+++ b/src/ebonystile/core/carrying/balancer.py
@@ -168,7 +168,9 @@
         ):
             flow = next(iter(self.pending))
             received = self.pending.pop(flow)
-            if flow not in self.searches and flow not in self.homes:
+            if flow in self.searches or flow in self.homes:
+                todo.extend(self.on_caller(received, now))
+            else:
                 reason = finding.RetryReason.VIEW_CONFIRMED
                 todo.extend(finding.retry_search(self, [received], now, now, reason))
         return todo
--- a/tests/carrying/test_no_upstream.py
+++ b/tests/carrying/test_no_upstream.py
@@ -113,3 +113,20 @@
     scene.run(asking.MAX_BATCH_WAIT_MS + 10 + world.TICK_MS)
     reasons = [fields.get("reason") for _, event, fields in scene.traces if event == "not_found"]
     assert reasons == ["waited_too_long"]
+
+
+def test_a_packet_that_waits_for_the_view_goes_to_its_home_when_that_is_listed_again():
+    """The store was away and has dropped the entry; the caller must not wait for its next copy."""
+    scene = world.World(zones=("a",), upstreams=1, balancers=1)
+    caller = scene.open()
+    home, through = scene.home_of(caller), scene.balancers[0]
+    through.core.set_view_current(False, scene.now)
+    through.core.fleet.remove(scene.entries[home.address].name, scene.now)
+    home.alive = False
+    scene.ask(caller, b"again")
+    scene.run(900)
+    assert list(through.core.pending) == [caller.flow]
+    home.alive = True
+    scene.publish_entries([through])
+    scene.run(world.TICK_MS + 50)
+    assert caller.answer.endswith(b"again")
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -497,6 +497,13 @@
         "self.ask_batch.discard(search)",
         "pass",
     ),
+    Mutation(
+        "a packet that waits for the view goes to a known home",
+        CORE + "carrying/balancer.py",
+        "if flow in self.searches or flow in self.homes:\n"
+        "                todo.extend(self.on_caller(received, now))",
+        "if flow in self.searches or flow in self.homes:\n                pass",
+    ),
     Mutation(
         "own placements count towards the load",
         CORE + "carrying/balancer_state.py",
