Seeds name the sidecars whose lapsed entries they keep

What callers saw: a reset of an open flow whose upstream was running, from a balancer that started just after an outage of the store in which entries lapsed.

Cause: for 2.3 s after the store's return, processes that ran before keep lapsed entries as if they were listed. Seeds therefore had no sidecar without an entry to name, their answer confirmed the empty list of the balancer that had started, and that reset what it did not find.

Change: the answer names those sidecars too. The balancer asks them before it resets a flow.

Test: test_a_seed_that_keeps_lapsed_entries_names_their_sidecars failed before (1 reset, not 0). A mutant is added. With more than 128 such sidecars the answer confirms nothing, as before, and the view counts by its age of 1 s; that rest stands.

--- a/src/ebonystile/core/carrying/announcing.py
+++ b/src/ebonystile/core/carrying/announcing.py
@@ -164,10 +164,14 @@
 def make_unlisted_answer(current_fleet: fleet.Fleet, listened_ms: int) -> messages.AnswerUnlisted:
     """Return the answer that names the sidecars without an entry.
 
+    A process that started after the entries lapsed does not have those that are kept here for a
+    grace period, and would reset the flows of upstreams that still run.
+
     If there are more than fit, the answer's `listened_ms` is 0, so that it does not confirm the
     balancer's view. Otherwise flows at the sidecars left out would be reset.
     """
-    addresses = [upstream.address for upstream in current_fleet.unlisted()]
+    without_entry = (*current_fleet.lapsed(), *current_fleet.unlisted())
+    addresses = [upstream.address for upstream in without_entry]
     is_complete = len(addresses) <= MAX_UNLISTED_PER_ANSWER
     return messages.AnswerUnlisted(
         listened_ms if is_complete else 0, tuple(addresses[-MAX_UNLISTED_PER_ANSWER:])
--- a/src/ebonystile/core/carrying/fleet.py
+++ b/src/ebonystile/core/carrying/fleet.py
@@ -218,6 +218,10 @@
         """Return the upstreams without an entry whose address no listed upstream has taken."""
         return [gone for a, (gone, _) in self.unlisted_until.items() if a not in self.by_address]
 
+    def lapsed(self) -> list[Upstream]:
+        """Return the upstreams that have lost their entries and are kept for a grace period."""
+        return [self.upstreams[name] for name in self.expiring]
+
     def predecessor(self, upstream: Upstream) -> Upstream | None:
         """Return an older listed upstream at the same address, or None."""
         others = (u for u in self.upstreams.values() if u.address == upstream.address)
--- a/tests/carrying/test_announcing.py
+++ b/tests/carrying/test_announcing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ebonystile.core.carrying import announcing, balancer_state, effects, messages, packet
+from ebonystile.core.carrying import announcing, balancer_state, effects, fleet, messages, packet
 from ebonystile.peer import carrying
 from tests.carrying import world
 
@@ -242,6 +242,25 @@
     assert caller.answer.endswith(b"again") and caller.resets == 0
 
 
+def test_a_seed_that_keeps_lapsed_entries_names_their_sidecars():
+    """A balancer that starts while the others still keep them must not reset their flows."""
+    scene = world.World(balancers=2)
+    caller = scene.open()
+    started, seed = scene.balancers
+    listed = dict(scene.entries)
+    for node in (seed, *scene.sidecars):
+        for upstream in listed.values():
+            node.core.fleet.remove(upstream.name, scene.now, scene.now + fleet.RELIST_GRACE_MS)
+    scene.entries.clear()
+    scene.restart_balancer(started)
+    seed_with(scene, seed)
+    make_views_current(scene, [started])
+    scene.ask(caller, b"again")
+    scene.run(fleet.RELIST_GRACE_MS - 100)
+    assert caller.resets == 0
+    assert caller.answer.endswith(b"again")
+
+
 def test_a_relay_announces_itself_once_a_second():
     announcer = announcing.Announcer((("10.0.0.1", 7720),))
     announcer.is_relay = True
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -504,6 +504,12 @@
         "                todo.extend(self.on_caller(received, now))",
         "if flow in self.searches or flow in self.homes:\n                pass",
     ),
+    Mutation(
+        "sidecars whose entries are kept for a grace period are named",
+        CORE + "carrying/announcing.py",
+        "(*current_fleet.lapsed(), *current_fleet.unlisted())",
+        "current_fleet.unlisted()",
+    ),
     Mutation(
         "own placements count towards the load",
         CORE + "carrying/balancer_state.py",
