Random steps into the cores of balancer, sidecar and link scheduler

The project had no such test; its scenes list upstreams, and the soak loses entries of some only.

Change: three state machines (hypothesis). Drawn views hold no upstream, one, several, and ones that have lost their entries; peers answer late, wrongly or not at all. Must hold: no exception, each search scheduled until it ends, nothing due that stays due, an outcome for each packet and each flow that waited, messages that fit a datagram, sizes bounded, nothing left after 20 s without input.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -28,6 +28,16 @@
 
 # The same examples, and so the same verdict, in every run; --hypothesis-seed explores others.
 hypothesis.settings.register_profile("suite", derandomize=True, deadline=None)
+# More and longer examples, by hand: --hypothesis-profile=long. They are shown as they were drawn:
+# to reduce one of 400 steps takes minutes.
+hypothesis.settings.register_profile(
+    "long",
+    deadline=None,
+    max_examples=2_000,
+    stateful_step_count=400,
+    phases=(hypothesis.Phase.generate,),
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
 hypothesis.settings.load_profile("suite")
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -44,6 +44,7 @@
     "tests/carrier/test_restored.py",
     "tests/carrier/test_unanswered.py",
     "tests/platform/test_entries.py",
+    "tests/carrying/test_random_steps.py",
 )
 """The tests that must notice, the quickest first: of the product's calls and of carried flows."""
 
