Own interface: a datagram whose kind can't be hashed is dropped

What callers saw: a balancer of the product's own interface ended, with all that it carried, at one datagram of any caller; a second one ended the process that took its place.

Cause: route looked the kind up in a set before it knew its type. A list or map there raises TypeError outside of the guard around decoding, and an exception in the owner thread ends the process.

Evidence: found while looking for what else ends a process; cbor2.dumps([[], b"x", "s", b""]) to route: "TypeError: unhashable type: 'list'".

Change: the type of the kind is checked first.

Test: test_no_datagram_of_a_caller_ends_a_balancer draws datagrams and views with no service, no upstream, one, and only leaving ones; it failed before in all five views with that error.

--- a/src/ebonystile/core/calls/balancer.py
+++ b/src/ebonystile/core/calls/balancer.py
@@ -83,7 +83,10 @@
     except Exception:
         # The library may raise any exception on malformed input.
         return Drop("malformed")
-    if kind not in FROM_CALLER_KINDS or type(flow) is not bytes or type(token) is not bytes:
+    # A caller may send any value; one that can't be hashed must not reach the set of kinds.
+    if type(kind) is not int or kind not in FROM_CALLER_KINDS:
+        return Drop("malformed")
+    if type(flow) is not bytes or type(token) is not bytes:
         return Drop("malformed")
     if type(service_name) is not str:
         return Drop("malformed")
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import random
 import typing
 
 import cbor2
@@ -11,6 +12,8 @@
 
 from ebonystile import codec, errors
 from ebonystile.caller import messages as caller_messages
+from ebonystile.core import view
+from ebonystile.core.calls import balancer
 from ebonystile.operator import messages as operator_messages
 from ebonystile.peer import messages as peer_messages
 
@@ -108,6 +111,51 @@
             family.decode(data)
 
 
+def make_views():
+    """Return views that list no service, and a service with no upstream, one, or leaving ones."""
+    staying = view.make_endpoint("u1", ("10.0.1.1", 1), "a")
+    leaving = view.make_endpoint("u2", ("10.0.1.2", 1), "a", leaving=True)
+    listed = ((), (staying,), (leaving,), (staying, leaving))
+    services = [view.make_service("s", "10.1.0.1:443", members) for members in listed]
+    return [view.EMPTY, *(view.make_view(1, [service]) for service in services)]
+
+
+TOKENS = st.one_of(
+    st.binary(max_size=30),
+    st.sampled_from([view.Token(view.key_of(u), 1, view.key_of("s")).pack() for u in ("u1", "u9")]),
+)
+CALLER_ITEMS = st.tuples(
+    st.sampled_from(sorted(balancer.FROM_CALLER_KINDS)) | FOREIGN,
+    st.binary(min_size=16, max_size=16) | FOREIGN,
+    st.just("s") | FOREIGN,
+    TOKENS | FOREIGN,
+    INTEGERS | FOREIGN,
+    INTEGERS | FOREIGN,
+    st.binary(max_size=400) | FOREIGN,
+)
+
+
+@pytest.mark.parametrize("known", make_views(), ids=["none", "empty", "one", "leaving", "two"])
+@given(
+    items=CALLER_ITEMS,
+    length=st.integers(0, 9),
+    is_padded=st.booleans(),
+    now=st.integers(0, codec.INTEGER_LIMIT // 2),
+)
+def test_no_datagram_of_a_caller_ends_a_balancer(known, items, length, is_padded, now):
+    """A kind that can't be hashed ended the process; no malformed field may."""
+    padding = [b""] * (length - len(items))
+    sent = [*items[:length], *padding]
+    if is_padded:
+        sent = [*items[:-1], bytes(caller_messages.OPEN_BYTES)]
+    core = balancer.make_balancer(("10.0.0.1", 1), random.Random(1))
+    balancer.change_view(core, known)
+    action = balancer.route(core, ("100.64.0.7", 40_001), cbor2.dumps(sent), now)
+    assert isinstance(action, balancer.Relay | balancer.Reply | balancer.Drop)
+    if isinstance(action, balancer.Relay):
+        assert peer_messages.pack_forward(action.forward)
+
+
 ADDRESSES = st.tuples(st.ip_addresses(v=4).map(str), st.integers(0, 65_535))
 KEYS = st.lists(st.integers(0, 2**64 - 1), max_size=peer_messages.MAX_VISITED).map(tuple)
 FORWARDS = st.builds(
