--- a/tests/carrier/test_soak.py
+++ b/tests/carrier/test_soak.py
@@ -52,3 +52,11 @@
     finished = soak.run_seed(seed, SECONDS, tmp_path, soak.EVERY_KIND)
     assert finished.violations == []
     assert finished.served > 0 and finished.faults["unanswered"]
+
+
+@pytest.mark.parametrize("seed", [7001, 7002])
+def test_guarantees_hold_while_no_upstream_is_listed(seed, tmp_path):
+    """Balancers that started without any upstream ended at the next packet of an open flow."""
+    finished = soak.run_seed(seed, SECONDS, tmp_path, soak.WITH_LOSSES)
+    assert finished.violations == []
+    assert finished.served > 0 and finished.faults["upstreams_lost"]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,8 +3,9 @@
 `python -m tests.soak --seed 7 --seconds 20` runs one seed. Kills, SIGTERM, pauses, SIGHUP, store
 failures, for all machines or for some, and restorations, losses of all power, upstream crashes and
 route changes overlap, while callers keep flows open through changing balancers. Bursts by route,
-slowed upstreams and a narrow link come on top (`tests.loads`), unless `--no-loads` is given. Only
-processes started here are signalled, by their ids. The exit status is 1 if a guarantee was
+slowed upstreams and a narrow link come on top (`tests.loads`), unless `--no-loads` is given. With
+`--lose-upstreams` all upstreams, or all but one, lose power and their entries for some seconds.
+Only processes started here are signalled, by their ids. The exit status is 1 if a guarantee was
 violated.
 """
 
@@ -37,8 +38,9 @@
 )
 ALL_KINDS = (*KINDS, "restore", "restore", "power")
 EVERY_KIND = (*ALL_KINDS, "unanswered", "unanswered")
+WITH_LOSSES = (*EVERY_KIND, "upstreams_lost", "upstreams_lost", "upstreams_lost")
 """Kinds of faults, some of them twice, as they are drawn twice as often. The seeds that are kept as
-cases draw from `KINDS` and `ALL_KINDS`."""
+cases draw from `KINDS` and `ALL_KINDS`, those in KNOWN-RED.txt from `EVERY_KIND`."""
 
 CALLERS = 24
 STEP_S = 0.1
@@ -82,6 +84,8 @@
     callers: list[ends.Caller] = dataclasses.field(default_factory=list)
     unanswered: list[installation.Machine] = dataclasses.field(default_factory=list)
     unanswered_until: float = 0.0
+    lost: list[installation.Machine] = dataclasses.field(default_factory=list)
+    lost_until: float = 0.0
     last_fault_ms: collections.Counter = dataclasses.field(default_factory=collections.Counter)
     paused: dict[str, float] = dataclasses.field(default_factory=dict)
     store_until: float = 0.0
@@ -147,9 +151,13 @@
             count = self.rng.randrange(1, len(self.machines()))
             until = time.monotonic() + self.rng.uniform(0.5, 8.0)
             self.leave_unanswered(self.rng.sample(self.machines(), count), until)
+        elif kind == "upstreams_lost" and not self.lost:
+            self.lose_upstreams()
         elif kind == "crash":
             upstreams = self.running.sidecars
             crashed = self.rng.choice(upstreams)
+            if crashed in self.lost:
+                return
             self.record_fault(crashed, kind)
             with self.running.lock:
                 crashed.upstream.restart()
@@ -164,8 +172,38 @@
             name = f"servers/x{self.rng.randrange(5)}"
             self.running.store.put(name, self.rng.choice([b"\xff", {"state": 1}, None]))
 
+    def lose_upstreams(self) -> None:
+        """Cut the power of all upstreams, or all but one, until a time in s; their entries lapse.
+
+        Some balancers are killed and start while no upstream is listed, or only one.
+        """
+        now = time.monotonic()
+        upstreams = self.running.sidecars
+        self.lost = self.rng.sample(upstreams, len(upstreams) - self.rng.randrange(2))
+        self.lost_until = now + self.rng.uniform(1.0, 4.0)
+        for machine in self.lost:
+            self.record_fault(machine, "upstreams_lost")
+            self.running.signal(machine, signal.SIGKILL)
+            with self.running.lock:
+                machine.upstream.alive = False
+            self.lost_values.pop(f"servers/{machine.name}", None)
+            self.running.store.put(f"servers/{machine.name}", None)
+        for machine in self.running.balancers:
+            if self.rng.random() < 0.5:
+                self.record_fault(machine, "kill")
+                self.running.signal(machine, signal.SIGKILL)
+
+    def start_upstreams(self) -> None:
+        """Give the lost upstreams their power back; their daemons are started as any that ended."""
+        for machine in self.lost:
+            with self.running.lock:
+                machine.upstream.restart()
+            self.publish(machine, born=installation.now_ms())
+        self.lost = []
+
     def lose_all_power(self) -> None:
         """Kill every daemon and restart every upstream without flows, at the same moment."""
+        self.lost = []
         for machine in self.machines():
             self.record_fault(machine, "power")
             self.running.signal(machine, signal.SIGKILL)
@@ -207,7 +245,11 @@
         """Restart ended daemons, resume paused ones, and restore the store when they are due."""
         now = time.monotonic()
         self.drive_store()
+        if self.lost and now >= self.lost_until:
+            self.start_upstreams()
         for machine in self.machines():
+            if machine in self.lost:
+                continue
             until = self.paused.get(machine.name)
             if until is not None and now >= until:
                 del self.paused[machine.name]
@@ -310,6 +352,7 @@
             self.load.end_all()
         self.store_until = min(self.store_until, time.monotonic())
         self.answer_again()
+        self.start_upstreams()
         for name in self.paused:
             self.paused[name] = 0.0
         for _ in range(20):
@@ -454,6 +497,9 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after another")
     parser.add_argument("--seconds", type=float, default=20.0, help="length of each")
     parser.add_argument("--no-loads", action="store_true", help="faults only")
+    parser.add_argument(
+        "--lose-upstreams", action="store_true", help="also take all or nearly all upstreams away"
+    )
     arguments = parser.parse_args()
     failed_seeds = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
@@ -462,7 +508,7 @@
                 seed,
                 arguments.seconds,
                 pathlib.Path(name),
-                EVERY_KIND,
+                WITH_LOSSES if arguments.lose_upstreams else EVERY_KIND,
                 with_loads=not arguments.no_loads,
             )
             if soak.violations:
