A search that began before the present view resets no flow

What callers saw: a reset of an open flow whose upstream runs, some 20 ms after its balancer had started again in a planned restart.

Cause: a balancer that has read the routes and not yet the list knows only sidecars that announced themselves. It asked that one about the flow; the list was read and confirmed by witnesses within the 20 ms of the batch and the answer; and the search was then judged by the confirmed view, which had ten more sidecars than it had asked. A search that had asked 1 sidecar of 11 proved the flow gone.

Change: a search that began at or before the time from which the view is current is uncertain; it is repeated at all sidecars, as other uncertain ones are.

A mutant is added.

--- a/src/ebonystile/core/carrying/finding.py
+++ b/src/ebonystile/core/carrying/finding.py
@@ -140,16 +140,20 @@
 ) -> bool:
     """Return whether a flow that was not found has certainly ended.
 
-    It has if its former home has no entry. Otherwise it may still be open while a sidecar has read
-    a newer revision of the store than this balancer, whose view may then lack the home. If none
-    has, one search is enough if every query and probe was answered; else a second search, at least
-    `RETRY_SEARCH_MS` later, must also fail: an upstream that holds the flow and left the first
-    probe unanswered acknowledges the second.
+    It has if its former home has no entry. Otherwise it may still be open if the search began
+    before the present view: a balancer that starts asks the few sidecars that it knows by then,
+    and its view may be confirmed before they have answered. It may also be open while a sidecar
+    has read a newer revision of the store than this balancer, whose view may then lack the home.
+    Else one search is enough if every query and probe was answered; if not, a second search, at
+    least `RETRY_SEARCH_MS` later, must also fail: an upstream that holds the flow and left the
+    first probe unanswered acknowledges the second.
     """
     if search.previous_home is not None and not state.fleet.is_listed(
         search.previous_home.upstream
     ):
         return True
+    if search.started_at <= state.view_current_since:
+        return False
     if search.revision > state.revision:
         return False
     if search.is_settled():
--- a/tests/carrying/test_announcing.py
+++ b/tests/carrying/test_announcing.py
@@ -2,7 +2,16 @@
 
 import pytest
 
-from ebonystile.core.carrying import announcing, balancer_state, effects, fleet, messages, packet
+from ebonystile.core.carrying import (
+    announcing,
+    balancer,
+    balancer_state,
+    batches,
+    effects,
+    fleet,
+    messages,
+    packet,
+)
 from ebonystile.peer import carrying
 from tests.carrying import world
 
@@ -261,6 +270,28 @@
     assert caller.answer.endswith(b"again")
 
 
+def test_a_search_that_began_before_the_list_was_read_resets_no_flow():
+    """A balancer that starts knows only a sidecar that has announced itself, which answers late."""
+    scene = world.World(balancers=2)
+    caller = scene.open()
+    started = scene.balancers[0]
+    announced = next(n for n in scene.sidecars if n is not scene.home_of(caller))
+    route_table = started.core.route_table
+    started.core = balancer.Balancer(started.zone, scene.now)
+    started.core.route_table = route_table
+    announcing.record_unlisted(started.core.fleet, announced.address, scene.now + SECOND)
+    scene.delays = lambda step, origin, target: [8 if origin == announced.address else 1]
+    scene.ask(caller, b"again")
+    scene.run(batches.BATCH_DELAY_MS + 5)
+    for upstream in scene.entries.values():
+        started.core.fleet.put(upstream)
+    started.core.set_view_current(True, scene.now)
+    started.core.confirmation.confirm()
+    scene.run(150)
+    assert caller.resets == 0
+    assert caller.answer.endswith(b"again")
+
+
 def test_a_relay_announces_itself_once_a_second():
     announcer = announcing.Announcer((("10.0.0.1", 7720),))
     announcer.is_relay = True
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -511,6 +511,12 @@
         "(*current_fleet.lapsed(), *current_fleet.unlisted())",
         "current_fleet.unlisted()",
     ),
+    Mutation(
+        "a search from before the present view resets no flow",
+        CORE + "carrying/finding.py",
+        "if search.started_at <= state.view_current_since:",
+        "if False:",
+    ),
     Mutation(
         "own placements count towards the load",
         CORE + "carrying/balancer_state.py",
