Stand-in of the narrow link: stamps are waited for

The kernel begins to stamp datagrams some ms after SO_TIMESTAMPNS is set; one that arrives before gets the time at which it is read.

Change: the link's socket is used once a datagram to itself has the time of its arrival.

--- a/standins/narrow.py
+++ b/standins/narrow.py
@@ -35,6 +35,9 @@
 TIMESPEC = struct.Struct("@ll")
 STAMP_SPACE = socket.CMSG_SPACE(TIMESPEC.size)
 
+STAMPS_WITHIN_S, STAMP_CHECK_S = 2.0, 0.002
+"""Time limit for the kernel to begin to stamp datagrams, and the wait of one check, in s."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Hop:
@@ -76,8 +79,7 @@
         self, address: tuple[str, int], sidecar: tuple[str, int], balancer: tuple[str, int]
     ) -> None:
         """Relay between a balancer that sends to `address` and the sidecar at another port."""
-        made = installation.udp(address)
-        made.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+        made = make_stamped(address)
         self.selector.register(made, selectors.EVENT_READ, Hop(made, sidecar, balancer))
 
     def drive(self) -> None:
@@ -133,6 +135,27 @@
         self.selector.close()
 
 
+def make_stamped(address: tuple[str, int]) -> socket.socket:
+    """Return a bound socket whose datagrams have the time of their arrival.
+
+    The kernel begins to stamp some ms after it was asked to. A datagram that arrives before gets
+    the time at which it is read, and would be relayed after later ones. Raise `TimeoutError` if the
+    kernel doesn't begin.
+    """
+    made = installation.udp(address)
+    made.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+    end = time.monotonic() + STAMPS_WITHIN_S
+    while time.monotonic() < end:
+        made.sendto(b"", address)
+        sent_at = time.monotonic()
+        time.sleep(STAMP_CHECK_S)
+        _, ancillary, _, _ = made.recvmsg(1, STAMP_SPACE)
+        if arrival(ancillary) < sent_at + STAMP_CHECK_S / 2:
+            return made
+    made.close()
+    raise TimeoutError(f"datagrams to {address[0]} get no time of arrival")
+
+
 def arrival(ancillary: list[tuple[int, int, bytes]]) -> float:
     """Return when the kernel received a datagram, in s of the steady clock."""
     [(_, _, stamp)] = ancillary
--- a/tests/standins/test_narrow.py
+++ b/tests/standins/test_narrow.py
@@ -11,6 +11,9 @@
 INTERVAL_S = 0.004
 """Between two datagrams: about half of the link's rate."""
 
+UNSTAMPED_S = 0.03
+"""Time after which the kernel no longer stamps datagrams that nobody asks the time of."""
+
 BALANCER, ADDRESS, SIDECAR = "127.0.4.1", "127.0.4.2", "127.0.4.3"
 
 
@@ -39,6 +42,22 @@
     assert link.longest_late_ms >= (DATAGRAMS - 1) * INTERVAL_S * 1_000
 
 
+def test_the_first_datagram_has_the_time_of_its_arrival(reservation):
+    """One that came before the kernel began to stamp was relayed after all that came later."""
+    late = []
+    for _ in range(60):
+        port = reservation.reserve()
+        stamped = narrow.make_stamped((ADDRESS, port))
+        stamped.sendto(b"x", (ADDRESS, port))
+        sent_at = time.monotonic()
+        time.sleep(2 * INTERVAL_S)
+        _, ancillary, _, _ = stamped.recvmsg(1, narrow.STAMP_SPACE)
+        late.append(narrow.arrival(ancillary) - sent_at > INTERVAL_S)
+        stamped.close()
+        time.sleep(UNSTAMPED_S)
+    assert not any(late)
+
+
 def receive(sidecar, most):
     """Return the first byte of each datagram, until there are `most` or none comes in time."""
     received = []
