Own interface: a subscription with the id of a request ends no sidecar

What callers saw: all flows of a sidecar lost, after one message of one of its callers.

Cause: while a flow is handed over, answer_fenced gave each message whose id has a record to the handlers of requests; a Subscribe has an id too and no handler there: TypeError, and an exception in the owner thread ends the process.

Change: a subscription is held like other messages of such a flow; its caller sends it again.

Test: test_a_subscription_with_the_id_of_a_request_ends_no_sidecar failed before with that TypeError.

--- a/src/ebonystile/core/calls/sidecar.py
+++ b/src/ebonystile/core/calls/sidecar.py
@@ -236,7 +236,8 @@
 ) -> None:
     """Answer a message of a fenced flow from its records; no new request may start."""
     request = getattr(message, "request", b"")
-    if state.ledger.get(flow.id, request) is not None:
+    is_subscription = isinstance(message, caller_messages.Subscribe)
+    if not is_subscription and state.ledger.get(flow.id, request) is not None:
         flow.caller = forward.caller
         flow.via = forward.via
         requests.on_message(message, state, flow, now)
--- a/tests/test_random_calls.py
+++ b/tests/test_random_calls.py
@@ -239,6 +239,23 @@
         assert not self.core.effects, "effects that nothing performs"
 
 
+def test_a_subscription_with_the_id_of_a_request_ends_no_sidecar():
+    """While the flow was handed over, one message of its caller ended the process."""
+    machine = SidecarMachine()
+    machine.change_view({"s": [make_endpoint("u1"), make_endpoint("u2")], "t": []})
+    machine.open(FLOWS[0], "s", 0, 30_000)
+    flow = machine.core.flows[FLOWS[0]]
+    address = (flow.id, flow.service, flow.token, REQUESTS[0])
+    machine.send(
+        caller_messages.Request(*address, machine.now + 30_000, True, "/a", 0, 1, False, b"x")
+    )
+    machine.post(events.Finished((flow.id, REQUESTS[0]), 200, b"x"))
+    machine.post(events.Leave("SIGTERM"))
+    assert flow.is_fenced
+    machine.send(caller_messages.Subscribe(*address, "/a", 0))
+    assert flow.is_fenced and not flow.feeds
+
+
 TestSidecar = SidecarMachine.TestCase
 if hypothesis.settings.get_current_profile_name() == "suite":
     TestSidecar.settings = hypothesis.settings(max_examples=150, stateful_step_count=80)
