Soak: with losses of upstreams each run ends with one

How many faults a run draws, and which, depends on the time that each step takes, so no seed is sure to draw it.

Change: as with losses of all power, one is played after the random faults, and callers must be served after it. The check of the test stays.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -365,6 +365,9 @@
             self.check_configured("after a restoration of the store")
         if "unanswered" in self.kinds:
             self.configure_past_relays()
+        if "upstreams_lost" in self.kinds:
+            self.lose_upstreams()
+            self.check_served("after the loss of upstreams")
         if "power" in self.kinds:
             self.lose_all_power()
             self.check_served("after the loss of all power")
